--- a/cmd/jujubehaven/run.go
+++ b/cmd/jujubehaven/run.go
@@ -13,6 +13,8 @@
 	"github.com/jujubehaven/jujubehaven/internal/daemon"
 	"github.com/jujubehaven/jujubehaven/internal/logging"
 	"github.com/jujubehaven/jujubehaven/internal/settings"
+	"github.com/jujubehaven/jujubehaven/internal/tokenhost"
+	"github.com/jujubehaven/jujubehaven/platform"
 )
 
 const (
@@ -55,6 +57,9 @@
 		_, err := fmt.Fprintln(c.Root().Writer, "settings are valid")
 		return err
 	}
+	if s.Steering == settings.SteeringToken {
+		return runToken(c, s, source)
+	}
 	log := logging.New(c.Root().ErrWriter, zerolog.DebugLevel)
 	d, err := daemon.New(s, log)
 	if err != nil {
@@ -63,9 +68,32 @@
 	return serve(d, source, log)
 }
 
+// runToken runs a host that steers by token on the users' platform. Its log
+// goes to standard output and never holds up a packet.
+func runToken(c *cli.Command, s settings.Settings, source settings.Source) error {
+	queue := logging.NewQueue(c.Root().Writer)
+	defer func() { _ = queue.Close() }() // what still waits is written; nothing can be said of a failure
+	log := logging.New(queue, s.LogLevel)
+	around, err := platform.New(s.Platform, s.Data[0])
+	if err != nil {
+		return cli.Exit(err.Error(), exitSettings)
+	}
+	h, err := tokenhost.New(s, log, around)
+	if err != nil {
+		return cli.Exit(err.Error(), exitFailure)
+	}
+	return serve(h, source, log)
+}
+
+// host is what both ways to steer flows have in common.
+type host interface {
+	Run(leave, abort context.Context) error
+	Reload(s settings.Settings) error
+}
+
 // serve runs the daemon until SIGTERM or SIGINT, whose second one aborts the
 // hand-over. SIGHUP reloads the settings and keys.
-func serve(d *daemon.Daemon, source settings.Source, log zerolog.Logger) error {
+func serve(d host, source settings.Source, log zerolog.Logger) error {
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer signal.Stop(signals)
@@ -102,7 +130,7 @@
 	return nil
 }
 
-func reload(d *daemon.Daemon, source settings.Source, log zerolog.Logger) {
+func reload(d host, source settings.Source, log zerolog.Logger) {
 	s, err := settings.Load(source)
 	if err == nil {
 		err = d.Reload(s)
--- a/coordination/balancer/compare_test.go
+++ b/coordination/balancer/compare_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/jujubehaven/jujubehaven/coordination/rendezvous"
 	"github.com/jujubehaven/jujubehaven/protocol/document"
 	"github.com/jujubehaven/jujubehaven/protocol/packet"
 	"github.com/jujubehaven/jujubehaven/state/flow"
@@ -316,7 +317,7 @@
 	before := liveHeap()
 	table := flow.NewTable()
 	for i := range uint64(count) {
-		s := table.Shard(mix(i, i))
+		s := table.Shard(rendezvous.Mix(i, i))
 		s.Lock()
 		s.Insert(&flow.Key{Caller: [16]byte{byte(i), byte(i >> 8)}}, &flow.Entry{})
 		s.Unlock()
@@ -324,7 +325,7 @@
 	withTable := liveHeap()
 	replicas := newReplicas()
 	for i := range uint64(count) {
-		replicas.apply(1, appendFingerprint(nil, mix(i, i)), nil)
+		replicas.apply(1, appendFingerprint(nil, rendezvous.Mix(i, i)), nil)
 	}
 	withTold := liveHeap()
 	flows := make(map[packet.Flow]plainTarget)
--- a/coordination/balancer/order.go
+++ b/coordination/balancer/order.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/jujubehaven/jujubehaven/coordination/rendezvous"
 	"github.com/jujubehaven/jujubehaven/protocol/document"
 )
 
@@ -54,7 +55,7 @@
 	seed := TargetID(doc.Name, "")
 	var scratch []ranked
 	for slot := range orders {
-		key := mix(seed, uint64(slot)+1)
+		key := rendezvous.Mix(seed, uint64(slot)+1)
 		var ranks [][]ranked
 		for _, z := range rankZones(zones, key) {
 			scratch = rankTargets(doc, ids, z, key)
@@ -94,7 +95,7 @@
 	}
 	ranks := make([]rankedZone, len(zones))
 	for i, z := range zones {
-		ranks[i] = rankedZone{at: i, score: score(key, z.id, z.weight)}
+		ranks[i] = rankedZone{at: i, score: rendezvous.Score(key, z.id, z.weight)}
 	}
 	slices.SortFunc(ranks, func(a, b rankedZone) int { return compareScores(a.score, b.score) })
 	sorted := make([]zoneTargets, len(zones))
@@ -109,7 +110,7 @@
 	ranks := make([]ranked, len(z.members))
 	for i, pos := range z.members {
 		weight := float64(doc.Targets[pos].Weight)
-		ranks[i] = ranked{pos: pos, score: score(key, ids[pos], weight)}
+		ranks[i] = ranked{pos: pos, score: rendezvous.Score(key, ids[pos], weight)}
 	}
 	slices.SortFunc(ranks, func(a, b ranked) int { return compareScores(a.score, b.score) })
 	return ranks
--- a/coordination/balancer/owners_test.go
+++ b/coordination/balancer/owners_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"github.com/jujubehaven/jujubehaven/coordination/rendezvous"
 )
 
 // sortedOwners ranks the hosts for a target by sorting all of them.
@@ -19,7 +21,7 @@
 			}
 			return -1
 		}
-		return cmp.Compare(mix(t.id, uint64(b.id)), mix(t.id, uint64(a.id)))
+		return cmp.Compare(rendezvous.Mix(t.id, uint64(b.id)), rendezvous.Mix(t.id, uint64(a.id)))
 	})
 	var want targetView
 	n := 0
--- a/coordination/balancer/tick.go
+++ b/coordination/balancer/tick.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/jujubehaven/jujubehaven/coordination/rendezvous"
 	"github.com/jujubehaven/jujubehaven/protocol/peer"
 )
 
@@ -291,10 +292,10 @@
 		return len(b.docs) == 0
 	}
 	const watchKey = 0x646f6373
-	mine := mix(watchKey, uint64(b.id))
+	mine := rendezvous.Mix(watchKey, uint64(b.id))
 	better := 0
 	for _, h := range b.servingHosts() {
-		if h.zone == b.cfg.Host.Zone && mix(watchKey, uint64(h.id)) > mine {
+		if h.zone == b.cfg.Host.Zone && rendezvous.Mix(watchKey, uint64(h.id)) > mine {
 			better++
 		}
 	}
--- a/coordination/balancer/view.go
+++ b/coordination/balancer/view.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/jujubehaven/jujubehaven/coordination/rendezvous"
 	"github.com/jujubehaven/jujubehaven/protocol/document"
 	"github.com/jujubehaven/jujubehaven/protocol/packet"
 	"github.com/jujubehaven/jujubehaven/protocol/peer"
@@ -266,7 +267,7 @@
 }
 
 func rankHost(t *targetView, h *candidateHost) rankedHost {
-	return rankedHost{id: h.id, away: h.zone != t.zone, score: mix(t.id, uint64(h.id))}
+	return rankedHost{id: h.id, away: h.zone != t.zone, score: rendezvous.Mix(t.id, uint64(h.id))}
 }
 
 // before reports whether the host comes before the other.
--- /dev/null
+++ b/coordination/steering/flows.go
@@ -0,0 +1,113 @@
+package steering
+
+import (
+	"time"
+
+	"github.com/jujubehaven/jujubehaven/protocol/packet"
+)
+
+const (
+	// openingKept is how long an opening that was never followed is kept: the
+	// caller gives up an attempt after 1.4 s.
+	openingKept = 3 * time.Second
+	// closedKept is how long a flow is kept after its caller's FIN, for what is
+	// retransmitted.
+	closedKept = 2 * time.Second
+	// defaultIdle is how long a silent flow is kept without a configuration.
+	defaultIdle = 60 * time.Second
+	// sweepInterval is the time between two looks at all flows.
+	sweepInterval = time.Second
+)
+
+// flow is what a host remembers of one flow. It serves load figures and
+// evidence about targets only: packets find their target by token.
+type flow struct {
+	target *target
+	// placed is when the opening was last sent to a target.
+	placed time.Duration
+	seen   time.Duration
+	// asked is when the data was first sent that the target has not answered
+	// yet; busy is set meanwhile.
+	asked time.Duration
+	// nextSeq is the sequence number after the caller's data so far.
+	nextSeq uint32
+	// baseSeq is nextSeq when the flow last made progress.
+	baseSeq uint32
+	ack     uint32
+	busy    bool
+	// open is set once the caller has answered the target's handshake.
+	open   bool
+	closed bool
+	// sentData is set once data of the caller was forwarded.
+	sentData bool
+	// blamed is set when the flow counts against its target.
+	blamed bool
+}
+
+// seqAfter reports whether sequence number a is after b (RFC 9293, 3.4).
+func seqAfter(a, b uint32) bool { return int32(a-b) > 0 }
+
+// remember returns the flow's state, new if it is not known.
+func (s *Steering) remember(key packet.Flow) *flow {
+	f := s.flows[key]
+	if f == nil {
+		f = &flow{}
+		s.flows[key] = f
+	}
+	return f
+}
+
+// attach counts the flow at a target.
+func (s *Steering) attach(f *flow, t *target) {
+	if f.target == t {
+		return
+	}
+	s.detach(f)
+	f.target = t
+	t.open++
+}
+
+// detach takes the flow out of its target's counts.
+func (s *Steering) detach(f *flow) {
+	if f.target == nil {
+		return
+	}
+	s.setBusy(f, false)
+	f.target.open--
+	f.target = nil
+}
+
+// setBusy counts whether the target works on a request of the flow.
+func (s *Steering) setBusy(f *flow, busy bool) {
+	if f.busy == busy || f.target == nil {
+		return
+	}
+	f.busy = busy
+	if busy {
+		f.target.busy++
+	} else {
+		f.target.busy--
+	}
+}
+
+// sweep forgets flows that have ended or are silent.
+func (s *Steering) sweep(now time.Duration) {
+	idle := s.view.Config.IdleTimeout
+	if idle <= 0 {
+		idle = defaultIdle
+	}
+	for key, f := range s.flows {
+		silent := now - f.seen
+		kept := idle
+		switch {
+		case f.closed:
+			kept = closedKept
+		case !f.open:
+			kept = openingKept
+		}
+		if silent > kept {
+			s.detach(f)
+			delete(s.flows, key)
+		}
+	}
+}
--- /dev/null
+++ b/coordination/steering/steering.go
@@ -0,0 +1,304 @@
+package steering
+
+import (
+	"time"
+
+	"github.com/jujubehaven/jujubehaven/coordination/fleet"
+	"github.com/jujubehaven/jujubehaven/protocol/packet"
+	"github.com/jujubehaven/jujubehaven/protocol/verdict"
+)
+
+// maxInFlight is how many bytes a caller may have unacknowledged: 16 packets
+// of 1,200 bytes. Data beyond it shows that the target acknowledged some.
+const maxInFlight = 16 * 1200
+
+// Config says who decides.
+type Config struct {
+	// Zone is the availability zone of this host.
+	Zone string
+	// Events is told of changes in what the host believes of targets; it may
+	// be nil.
+	Events func(Event)
+}
+
+// Event is a change in what the host believes of a target.
+type Event struct {
+	Key fleet.TargetKey
+	// Answers is the new belief.
+	Answers bool
+	// Silence is how long no caller saw an answer before, for a silent target.
+	Silence time.Duration
+	// Blames counts the flows without an answer.
+	Blames int
+}
+
+// Steering is the decisions of one host.
+type Steering struct {
+	cfg     Config
+	view    *fleet.View
+	targets map[fleet.TargetKey]*target
+	tokens  map[Token]*target
+	pools   map[string]*pool
+	routes  map[packet.Endpoint]*route
+	flows   map[packet.Flow]*flow
+	swept   time.Duration
+	counts  Counts
+	// peerLoads is what the other hosts told last, nil if nothing.
+	peerLoads *PeerLoads
+}
+
+// Counts are totals since the start.
+type Counts struct {
+	// Actions counts the decisions by cause and kind.
+	Forwarded [CauseCount]uint64
+	Dropped   [CauseCount]uint64
+	Resets    [CauseCount]uint64
+	// Copies counts repeated openings, Repeats repeated data.
+	Copies, Repeats uint64
+	// Silenced counts how often a target was found silent.
+	Silenced uint64
+}
+
+// New returns a host's decisions before it has a view.
+func New(cfg Config) *Steering {
+	return &Steering{
+		cfg:     cfg,
+		targets: map[fleet.TargetKey]*target{},
+		tokens:  map[Token]*target{},
+		flows:   map[packet.Flow]*flow{},
+	}
+}
+
+// Counts returns the totals.
+func (s *Steering) Counts() Counts { return s.counts }
+
+// Flows returns the number of flows that are remembered.
+func (s *Steering) Flows() int { return len(s.flows) }
+
+// Tick does what is due without a packet.
+func (s *Steering) Tick(now time.Duration) {
+	if s.view == nil || now < s.swept+sweepInterval {
+		return
+	}
+	s.swept = now
+	s.sweep(now)
+}
+
+// Handle decides about one packet.
+func (s *Steering) Handle(now time.Duration, p *Segment, a *Action) {
+	*a = Action{}
+	s.decide(now, p, a)
+	switch a.Kind {
+	case Forward:
+		s.counts.Forwarded[a.Cause]++
+	case Drop:
+		s.counts.Dropped[a.Cause]++
+	case Reset:
+		s.counts.Resets[a.Cause]++
+	}
+}
+
+func (s *Steering) decide(now time.Duration, p *Segment, a *Action) {
+	if s.view == nil {
+		a.Cause = CauseNotReady
+		return
+	}
+	r := s.routes[p.Flow.Service]
+	if r == nil && s.fromService(p) {
+		a.Cause = CauseForged
+		return
+	}
+	if r == nil {
+		s.refuse(p, a, CauseNoRoute, verdict.MayHaveRun)
+		if p.Class == packet.Opening {
+			a.Run = verdict.NotRun
+		}
+		return
+	}
+	if p.Class == packet.Opening {
+		s.handleOpening(now, p, r, a)
+		return
+	}
+	s.handleFlow(now, p, a)
+}
+
+// fromService reports whether a packet claims to come from a service: callers
+// never do, and an answer would be sent to the service.
+func (s *Steering) fromService(p *Segment) bool {
+	caller := packet.Endpoint{Addr: p.Flow.Caller, Port: p.Flow.CallerPort, Proto: p.Flow.Service.Proto}
+	return s.routes[caller] != nil
+}
+
+// refuse answers with a reset, unless the packet is a reset itself.
+func (s *Steering) refuse(p *Segment, a *Action, cause Cause, run verdict.Run) {
+	a.Cause = cause
+	a.Run = run
+	if p.Class != packet.Reset {
+		a.Kind = Reset
+	}
+}
+
+// handleOpening places a flow, or places it anew when its target does not
+// answer.
+func (s *Steering) handleOpening(now time.Duration, p *Segment, r *route, a *Action) {
+	f := s.flows[p.Flow]
+	if f != nil && f.target != nil && s.keepsOpening(now, p, f) {
+		f.seen = now
+		s.forward(now, f.target, a, CauseKnown)
+		return
+	}
+	var former *target
+	if f != nil {
+		former = f.target
+	}
+	t, cause := s.place(now, p, r, former)
+	if t == nil {
+		s.refuse(p, a, cause, verdict.NotRun)
+		return
+	}
+	if f == nil {
+		f = s.remember(p.Flow)
+	}
+	if former != nil && former != t {
+		cause = CauseReplaced
+	}
+	a.Load = s.load(now, t)
+	*f = flow{target: f.target, busy: f.busy, placed: now, seen: now, nextSeq: p.Seq + 1, baseSeq: p.Seq + 1}
+	s.attach(f, t)
+	t.health.tried(now)
+	a.Placed = true
+	s.forward(now, t, a, cause)
+}
+
+// keepsOpening reports whether a repeated opening goes to the same target
+// again.
+func (s *Steering) keepsOpening(now time.Duration, p *Segment, f *flow) bool {
+	if f.closed || now-f.seen > openingKept {
+		return false // the caller's port is used again
+	}
+	if f.open {
+		return true
+	}
+	if p.Copy > 0 {
+		s.counts.Copies++
+		if f.target.health.openingRepeated(now, f.placed) {
+			s.silenced(now, f.target)
+		}
+	}
+	return f.target.takes() && !f.target.health.silent && p.Copy == 0
+}
+
+// handleFlow sends a packet of an open flow to the target that its token
+// names.
+func (s *Steering) handleFlow(now time.Duration, p *Segment, a *Action) {
+	t := s.tokens[p.Token]
+	f := s.flows[p.Flow]
+	if t == nil && f != nil {
+		t = f.target
+	}
+	if t == nil {
+		// The target may be one that this host has not heard of yet.
+		a.Cause = CauseUnknownToken
+		return
+	}
+	if t.entry.Gone && !s.answersStill(t) {
+		s.refuse(p, a, CauseTargetGone, verdict.MayHaveRun)
+		a.Key = t.entry.Key
+		if f != nil {
+			s.detach(f)
+			delete(s.flows, p.Flow)
+		}
+		return
+	}
+	if f == nil {
+		f = s.remember(p.Flow)
+		f.nextSeq, f.baseSeq, f.ack = p.Seq, p.Seq, p.Ack
+		f.open = true
+	}
+	s.attach(f, t)
+	s.observe(now, p, f, a)
+	s.forward(now, t, a, CauseKnown)
+}
+
+// answersStill reports whether callers saw answers of a target after it was
+// taken as gone.
+func (s *Steering) answersStill(t *target) bool {
+	return t.health.progress > t.entry.Since
+}
+
+// observe learns from a packet of an open flow about its target.
+func (s *Steering) observe(now time.Duration, p *Segment, f *flow, a *Action) {
+	t := f.target
+	f.seen = now
+	if !f.open {
+		f.open = true
+		f.ack = p.Ack
+		s.progressed(now, t)
+	}
+	if seqAfter(p.Ack, f.ack) {
+		f.ack = p.Ack
+		f.blamed = false
+		f.baseSeq = f.nextSeq
+		s.setBusy(f, false)
+		s.progressed(now, t)
+	}
+	if len(p.Payload) > 0 {
+		s.observeData(now, p, f, a)
+	}
+	if p.Class == packet.Closing || p.Class == packet.Reset {
+		s.setBusy(f, false)
+		f.closed = true
+	}
+}
+
+// observeData learns from a packet with data of the caller.
+func (s *Steering) observeData(now time.Duration, p *Segment, f *flow, a *Action) {
+	t := f.target
+	end := p.Seq + uint32(len(p.Payload))
+	if !seqAfter(end, f.nextSeq) {
+		s.counts.Repeats++
+		if !f.blamed && f.busy {
+			f.blamed = true
+			if t.health.dataRepeated(now, f.asked) {
+				s.silenced(now, t)
+			}
+		}
+		return
+	}
+	f.nextSeq = end
+	if !f.busy {
+		f.asked = now
+		a.RequestStarts = true
+		f.sentData = true
+	}
+	if end-f.baseSeq > maxInFlight {
+		f.baseSeq = end - maxInFlight/2
+		f.blamed = false
+		f.asked = now
+		s.progressed(now, t)
+	}
+	s.setBusy(f, true)
+}
+
+func (s *Steering) progressed(now time.Duration, t *target) {
+	if t.health.answered(now) && s.cfg.Events != nil {
+		s.cfg.Events(Event{Key: t.entry.Key, Answers: true})
+	}
+}
+
+func (s *Steering) silenced(now time.Duration, t *target) {
+	s.counts.Silenced++
+	if s.cfg.Events != nil {
+		s.cfg.Events(Event{Key: t.entry.Key, Silence: now - t.health.progress, Blames: t.health.blames})
+	}
+}
+
+func (s *Steering) forward(now time.Duration, t *target, a *Action, cause Cause) {
+	a.Kind = Forward
+	a.Cause = cause
+	a.Dest = t.entry.Addr
+	a.Target = t.entry.Number
+	a.Token = t.token
+	a.Key = t.entry.Key
+	a.ViewAge = int64(now - t.entry.Said)
+}
--- /dev/null
+++ b/coordination/steering/target.go
@@ -0,0 +1,42 @@
+package steering
+
+import (
+	"time"
+
+	"github.com/zeebo/xxh3"
+
+	"github.com/jujubehaven/jujubehaven/coordination/fleet"
+)
+
+// target is a target with this host's own figures about it.
+type target struct {
+	entry fleet.Entry
+	token Token
+	// out is set while the target's availability zone is out.
+	out bool
+	// shadowed is set while another target with the same token is older.
+	shadowed bool
+	// open and busy count the flows at the target and the requests in work, as
+	// this host sees them.
+	open, busy int
+	// peers are the same counts as the other hosts tell them.
+	peersOpen, peersBusy int
+	health               health
+}
+
+// TokenOf returns the token of a target, the same on every host and never 0.
+func TokenOf(key fleet.TargetKey) Token {
+	token := Token(xxh3.HashString("token/" + string(key)))
+	if token == 0 {
+		return 1
+	}
+	return token
+}
+
+// takes reports whether the target may be given new flows.
+func (t *target) takes() bool {
+	return !t.entry.Draining && !t.entry.Gone && !t.out && !t.shadowed
+}
+
+// cold reports whether the target is still slow after its start.
+func (t *target) cold(now time.Duration) bool { return now < t.entry.SlowUntil }
--- a/coordination/store/error.go
+++ b/coordination/store/error.go
@@ -27,6 +27,12 @@
 	// Invalid means that the store rejects the request as it is, so that a
 	// retry cannot help; nothing was written.
 	Invalid
+	// HistoryLost means that the store no longer has the changes after the
+	// given index; List again.
+	HistoryLost
+	// Overloaded means that the store turned the call away because of its rate
+	// or because it is busy; nothing was done.
+	Overloaded
 )
 
 // String returns the name used in logs and metrics.
@@ -46,6 +52,10 @@
 		return "lease-lost"
 	case Invalid:
 		return "invalid"
+	case HistoryLost:
+		return "history-lost"
+	case Overloaded:
+		return "overloaded"
 	}
 	return "unknown"
 }
@@ -60,6 +70,7 @@
 	OpPut         Op = "put"
 	OpDelete      Op = "delete"
 	OpWatch       Op = "watch"
+	OpChanges     Op = "changes"
 	OpCreateLease Op = "create-lease"
 	OpRenewLease  Op = "renew-lease"
 	OpRevokeLease Op = "revoke-lease"
@@ -68,7 +79,7 @@
 
 // Writes reports whether the operation changes the store.
 func (o Op) Writes() bool {
-	return o != OpGet && o != OpList && o != OpWatch
+	return o != OpGet && o != OpList && o != OpWatch && o != OpChanges
 }
 
 // Error is the failure of one operation.
--- a/coordination/store/store.go
+++ b/coordination/store/store.go
@@ -5,12 +5,16 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 )
 
 // Key names a value; its parts are separated by '/'.
 type Key string
 
+// HasPrefix reports whether the key begins with the prefix.
+func (k Key) HasPrefix(prefix Key) bool { return strings.HasPrefix(string(k), string(prefix)) }
+
 // Revision counts the writes of the whole store: a value's revision is that of
 // its last write. 0 stands for a key without a value.
 type Revision uint64
@@ -69,6 +73,30 @@
 	Watch(ctx context.Context, prefix Key, after Index, wait time.Duration) (Index, error)
 }
 
+// Change is an entry as it was written, or a key that was deleted.
+type Change struct {
+	Entry
+	Deleted bool
+}
+
+// Changes is what happened under a prefix, in order, up to an index.
+type Changes struct {
+	List  []Change
+	Index Index
+}
+
+// Feed reads a store whose watches tell what has changed. Every error is an
+// *Error.
+type Feed interface {
+	// List returns the entries whose keys begin with the prefix. The changes
+	// after its index lead from it to the present.
+	List(ctx context.Context, prefix Key) (Snapshot, error)
+	// Changes returns the changes after an index once there are any, or none
+	// when the wait is over. Its error is of kind HistoryLost if the store has
+	// dropped some of them.
+	Changes(ctx context.Context, prefix Key, after Index, wait time.Duration) (Changes, error)
+}
+
 // Leases lets one holder at a time mark a key as held. A holder that was
 // paused may believe in a lease that has lapsed: what it writes must be a Put
 // with the revision that it read under the lease, since lapsing and a later
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -17,6 +17,9 @@
 	Default string
 	// Required settings have no default.
 	Required bool
+	// OwnerOnly settings have no meaning, and are not required, when flows are
+	// steered by token.
+	OwnerOnly bool
 	// List settings hold several values, in flags and variables split by commas.
 	List bool
 	set  func(s *Settings, values []string) error
@@ -39,6 +42,10 @@
 
 func identityKeys() []Key {
 	return []Key{
+		{
+			Name: "steering", Default: "owner", Usage: "how a flow's target is found: owner or token",
+			set: one(func(s *Settings, v string) error { return setSteering(&s.Steering, v) }),
+		},
 		{
 			Name: "host", Required: true, Usage: "name of this host, unique among all hosts",
 			set: one(func(s *Settings, v string) error { return setName(&s.Host, v) }),
@@ -52,7 +59,7 @@
 			set: func(s *Settings, v []string) error { return setAddrPorts(&s.Data, v) },
 		},
 		{
-			Name: "control", Required: true, Usage: "TCP address and port for messages from hosts",
+			Name: "control", Required: true, OwnerOnly: true, Usage: "TCP address and port for messages from hosts",
 			set: one(func(s *Settings, v string) error { return setAddrPort(&s.Control, v) }),
 		},
 		{
@@ -60,15 +67,19 @@
 			set: one(func(s *Settings, v string) error { return setAddrPort(&s.Admin, v) }),
 		},
 		{
-			Name: "fabric.return", Required: true, List: true, Usage: "the fabric's tunnel addresses for packets to callers",
+			Name: "metrics", Default: "none", Usage: "TCP address and port for metrics alone, beside those on admin",
+			set: one(func(s *Settings, v string) error { return setAddrPort(&s.Metrics, v) }),
+		},
+		{
+			Name: "fabric.return", Required: true, OwnerOnly: true, List: true, Usage: "the fabric's tunnel addresses for packets to callers",
 			set: func(s *Settings, v []string) error { return setAddrPorts(&s.Fabric.Return, v) },
 		},
 		{
-			Name: "fabric.sources", Required: true, List: true, Usage: "prefixes from which the fabric may send",
+			Name: "fabric.sources", Required: true, OwnerOnly: true, List: true, Usage: "prefixes from which the fabric may send",
 			set: func(s *Settings, v []string) error { return setPrefixes(&s.Fabric.Sources, v) },
 		},
 		{
-			Name: "peers.sources", Required: true, List: true, Usage: "prefixes from which hosts may relay packets",
+			Name: "peers.sources", Required: true, OwnerOnly: true, List: true, Usage: "prefixes from which hosts may relay packets",
 			set: func(s *Settings, v []string) error { return setPrefixes(&s.Peers.Sources, v) },
 		},
 		{
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -166,7 +166,7 @@
 	for _, k := range Keys() {
 		v, found := l.values[k.Name]
 		if !found {
-			if k.Required {
+			if k.Required && !(k.OwnerOnly && l.settings.Steering == SteeringToken) {
 				l.problem(fileOr(path), k.Name, "is missing; set it in the file, as %s or by --%s", k.Env(), k.Flag())
 			}
 			continue
--- a/internal/settings/restart.go
+++ b/internal/settings/restart.go
@@ -9,11 +9,13 @@
 		key      string
 		old, now any
 	}{
+		{"steering", old.Steering, changed.Steering},
 		{"host", old.Host, changed.Host},
 		{"zone", old.Zone, changed.Zone},
 		{"data", old.Data, changed.Data},
 		{"control", old.Control, changed.Control},
 		{"admin", old.Admin, changed.Admin},
+		{"metrics", old.Metrics, changed.Metrics},
 		{"fabric.return", old.Fabric.Return, changed.Fabric.Return},
 		{"fabric.sources", old.Fabric.Sources, changed.Fabric.Sources},
 		{"peers.sources", old.Peers.Sources, changed.Peers.Sources},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -15,8 +15,19 @@
 // EnvPrefix begins the environment variable of each setting.
 const EnvPrefix = "JUJUBEHAVEN_"
 
+// Steering says how a flow's target is found.
+type Steering string
+
+const (
+	// SteeringOwner finds it through the host that owns the target.
+	SteeringOwner Steering = "owner"
+	// SteeringToken finds it by the token that the flow's packets carry.
+	SteeringToken Steering = "token"
+)
+
 // Settings are the checked settings of one host.
 type Settings struct {
+	Steering Steering
 	// Host is the name of this host, unique among all hosts.
 	Host string
 	// Zone is the availability zone of this host.
@@ -27,7 +38,9 @@
 	// Control receives messages of hosts over TCP.
 	Control netip.AddrPort
 	// Admin serves metrics and health over HTTP.
-	Admin  netip.AddrPort
+	Admin netip.AddrPort
+	// Metrics serves metrics alone over HTTP; it is not valid if there is none.
+	Metrics netip.AddrPort
 	Fabric Fabric
 	Peers  Peers
 	// Platform is the base URL of the platform's key-value service.
@@ -112,6 +125,7 @@
 // defaults returns the settings before anything is read.
 func defaults() Settings {
 	return Settings{
+		Steering: SteeringOwner,
 		Workers:  DefaultWorkers,
 		MTU:      tunnel.DefaultMTU,
 		LogLevel: zerolog.InfoLevel,
--- a/internal/settings/together.go
+++ b/internal/settings/together.go
@@ -7,6 +7,10 @@
 
 // checkTogether checks settings against each other.
 func (l *loader) checkTogether(path string) {
+	if l.settings.Steering == SteeringToken {
+		l.checkToken(path)
+		return
+	}
 	l.checkTLS(path)
 	l.checkAddresses(path)
 	if l.settings.Platform == "" && len(l.settings.Peers.Seeds) == 0 {
@@ -19,6 +23,20 @@
 	}
 }
 
+// checkToken checks what steering by token needs.
+func (l *loader) checkToken(path string) {
+	s := l.settings
+	if s.Platform == "" {
+		l.problem(fileOr(path), "platform", "is missing; steering by token reads services and targets from it")
+	}
+	if len(s.Data) != 1 || !s.Data[0].Addr().Is4() {
+		l.problem(l.whereOf("data", path), "data", "want one IPv4 address when steering is token")
+	}
+	if s.Metrics.IsValid() && s.Metrics == s.Admin {
+		l.problem(l.whereOf("metrics", path), "metrics", "%s is the admin address too", s.Metrics)
+	}
+}
+
 func (l *loader) checkTLS(path string) {
 	files := []struct{ key, path string }{
 		{"tls.cert", l.settings.TLS.Cert},
--- a/internal/settings/values.go
+++ b/internal/settings/values.go
@@ -36,6 +36,15 @@
 	return nil
 }
 
+func setSteering(to *Steering, value string) error {
+	switch s := Steering(value); s {
+	case SteeringOwner, SteeringToken:
+		*to = s
+		return nil
+	}
+	return errors.Newf("%q is neither %s nor %s", value, SteeringOwner, SteeringToken)
+}
+
 func setAddrPort(to *netip.AddrPort, value string) error {
 	addr, err := netip.ParseAddrPort(value)
 	if err != nil {
--- /dev/null
+++ b/internal/tokenhost/host.go
@@ -0,0 +1,182 @@
+// Package tokenhost runs one host that steers flows by token: it joins the
+// packet path, the follower of the platform's store and the admin server.
+package tokenhost
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"github.com/jujubehaven/jujubehaven/coordination/fleet"
+	"github.com/jujubehaven/jujubehaven/coordination/steering"
+	"github.com/jujubehaven/jujubehaven/coordination/store"
+	"github.com/jujubehaven/jujubehaven/internal/settings"
+	"github.com/jujubehaven/jujubehaven/protocol/document"
+	"github.com/jujubehaven/jujubehaven/transport/admin"
+	"github.com/jujubehaven/jujubehaven/transport/direct"
+	"github.com/jujubehaven/jujubehaven/transport/follow"
+)
+
+// closeTimeout bounds how long open admin requests may take at the end.
+const closeTimeout = 200 * time.Millisecond
+
+// Surroundings is what a host needs of the place that it runs at.
+type Surroundings struct {
+	Feed    store.Feed
+	Keys    fleet.Keys
+	Decoder fleet.Decoder
+	Codec   direct.Codec
+}
+
+// Host is one host. Its sockets are open from New until Run returns.
+type Host struct {
+	log      zerolog.Logger
+	start    time.Time
+	settings settings.Settings
+	packets  *direct.Server
+	follower *follow.Follower
+	admin    *admin.Server
+	journal  *journal
+	registry *prometheus.Registry
+	leaving  atomic.Bool
+
+	adminListener, metricsListener net.Listener
+}
+
+// New opens the sockets of a host. A Host that is not run must be closed.
+func New(s settings.Settings, log zerolog.Logger, around Surroundings) (*Host, error) {
+	h := &Host{
+		log: log.With().Str("host", s.Host).Logger(), start: time.Now(), settings: s,
+		registry: prometheus.NewRegistry(),
+	}
+	h.journal = newJournal(h.log, h.clock)
+	var err error
+	h.packets, err = direct.New(direct.Config{
+		Listen: s.Data[0], Codec: around.Codec, Observer: h.journal, Clock: h.clock,
+		Steering: steering.New(steering.Config{Zone: s.Zone, Events: h.journal.targetEvent}),
+	})
+	if err != nil {
+		return nil, err
+	}
+	h.follower = follow.New(follow.Config{
+		Feed: around.Feed, Keys: around.Keys, Decoder: around.Decoder,
+		Publish: h.packets.SetView, Clock: h.clock, Log: h.log,
+	})
+	h.registry.MustRegister(newCollector(h))
+	h.admin = admin.New(admin.Config{Metrics: h.registry, Ready: h.ready, Documents: noDocuments})
+	if err := h.listen(); err != nil {
+		h.Close()
+		return nil, err
+	}
+	return h, nil
+}
+
+func (h *Host) listen() error {
+	var err error
+	if h.adminListener, err = net.Listen("tcp", h.settings.Admin.String()); err != nil {
+		return errors.Wrap(err, "admin")
+	}
+	if !h.settings.Metrics.IsValid() {
+		return nil
+	}
+	h.metricsListener, err = net.Listen("tcp", h.settings.Metrics.String())
+	return errors.Wrap(err, "metrics")
+}
+
+// noDocuments is the list of documents in force: the platform's store holds
+// configurations instead.
+func noDocuments() document.InForceList { return document.InForceList{} }
+
+func (h *Host) clock() time.Duration { return time.Since(h.start) }
+
+// Run serves until leave is done, then stops being ready, goes on for the time
+// that the fabric needs to notice, and closes. When abort is done it closes at
+// once. The error is that of a socket that failed for good.
+func (h *Host) Run(leave, abort context.Context) error {
+	ctx, cancel := context.WithCancel(abort)
+	defer cancel()
+	failed := make(chan error, 3)
+	var wg sync.WaitGroup
+	wg.Go(func() { failed <- h.packets.Run() })
+	wg.Go(func() { failed <- h.admin.Serve(h.adminListener) })
+	if h.metricsListener != nil {
+		wg.Go(func() { failed <- h.admin.Serve(h.metricsListener) })
+	}
+	wg.Go(func() { h.follower.Run(ctx) })
+	wg.Go(func() { h.journal.run(ctx) })
+	h.log.Info().Str("event", "host_started").Str("zone", h.settings.Zone).Str("steering", string(h.settings.Steering)).
+		Stringer("data", h.settings.Data[0]).Stringer("admin", h.settings.Admin).Send()
+	var err error
+	select {
+	case err = <-failed:
+		h.log.Error().Str("event", "socket_failed").Err(err).Send()
+	case <-leave.Done():
+		h.leave(abort)
+	case <-abort.Done():
+	}
+	cancel()
+	h.Close()
+	wg.Wait()
+	h.log.Info().Str("event", "host_stopped").Send()
+	return err
+}
+
+// leave lets the fabric turn to other hosts before this one closes. Flows need
+// no hand-over: any host finds their targets by token.
+func (h *Host) leave(abort context.Context) {
+	h.leaving.Store(true)
+	h.log.Info().Str("event", "leave_started").Dur("limit_ms", h.settings.Limits.Leave).Send()
+	timer := time.NewTimer(h.settings.Limits.Leave)
+	defer timer.Stop()
+	select {
+	case <-abort.Done():
+		h.log.Warn().Str("event", "leave_aborted").Send()
+	case <-timer.C:
+		h.log.Info().Str("event", "leave_done").Send()
+	}
+}
+
+// ready returns nil if the host forwards packets.
+func (h *Host) ready() error {
+	switch {
+	case h.leaving.Load():
+		return errors.New("leaving")
+	case !h.follower.Ready():
+		return errors.New("services and targets are not known yet")
+	}
+	return nil
+}
+
+// Reload takes over changed settings that need no restart; there are none yet
+// beyond the log's level.
+func (h *Host) Reload(s settings.Settings) error {
+	if keys := settings.NeedRestart(h.settings, s); len(keys) > 0 {
+		return errors.Newf("changed settings that need a restart: %v", keys)
+	}
+	return nil
+}
+
+// Close releases the sockets.
+func (h *Host) Close() {
+	h.logClose("data", h.packets.Close())
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	h.logClose("admin", h.admin.Close(ctx))
+	for _, l := range []net.Listener{h.adminListener, h.metricsListener} {
+		if l != nil {
+			_ = l.Close() // closed by the admin server if it ran
+		}
+	}
+}
+
+func (h *Host) logClose(part string, err error) {
+	if err != nil {
+		h.log.Warn().Str("event", "close_failed").Str("part", part).Err(err).Send()
+	}
+}
--- /dev/null
+++ b/internal/tokenhost/journal.go
@@ -0,0 +1,120 @@
+package tokenhost
+
+import (
+	"bytes"
+	"context"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
+
+	"github.com/jujubehaven/jujubehaven/coordination/steering"
+	"github.com/jujubehaven/jujubehaven/protocol/packet"
+)
+
+const (
+	// decisionsPerSecond bounds the lines about single packets, and
+	// decisionBurst how many may come at once.
+	decisionsPerSecond = 50
+	decisionBurst      = 100
+	// summaryInterval is the time between two lines about what was left out.
+	summaryInterval = 10 * time.Second
+	// maxRequestID bounds the bytes of a request's ID in a line.
+	maxRequestID = 64
+)
+
+// requestIDHeader is the header field that names a request, as callers send
+// it in the first data of a request.
+var requestIDHeader = []byte("\r\nRequest-Id:")
+
+// journal writes one line for each decision that touches a request, within a
+// bounded rate. It never blocks.
+type journal struct {
+	log     zerolog.Logger
+	clock   func() time.Duration
+	limiter *rate.Limiter
+	left    atomic.Uint64
+}
+
+func newJournal(log zerolog.Logger, clock func() time.Duration) *journal {
+	return &journal{log: log, clock: clock, limiter: rate.NewLimiter(decisionsPerSecond, decisionBurst)}
+}
+
+// Decided implements direct.Observer.
+func (j *journal) Decided(_ time.Duration, p *steering.Segment, a *steering.Action) {
+	switch {
+	case a.Kind == steering.Forward && a.Placed:
+		j.line("flow_placed", p, a).Str("target", string(a.Key)).Float64("load", a.Load).
+			Uint32("copy", p.Copy).Int64("view_age_ms", a.ViewAge/int64(time.Millisecond)).Send()
+	case a.Kind == steering.Forward && a.RequestStarts:
+		j.request(p, a)
+	case a.Kind == steering.Reset:
+		j.line("flow_reset", p, a).Str("target", string(a.Key)).Str("run", a.Run.String()).Send()
+	case a.Kind == steering.Drop:
+		j.line("packet_dropped", p, a).Uint32("token", uint32(p.Token)).Send()
+	}
+}
+
+// request names the request whose first data a packet carries, so that its ID
+// leads to the flow.
+func (j *journal) request(p *steering.Segment, a *steering.Action) {
+	if id := requestID(p.Payload); id != "" {
+		j.line("request_sent", p, a).Str("request", id).Str("target", string(a.Key)).Send()
+	}
+}
+
+// line begins a line about a packet; the event is nil, and writes nothing, if
+// there were too many.
+func (j *journal) line(event string, p *steering.Segment, a *steering.Action) *zerolog.Event {
+	if !j.limiter.Allow() {
+		j.left.Add(1)
+		return nil
+	}
+	return j.log.Info().Str("event", event).Str("cause", a.Cause.String()).
+		Stringer("caller", p.Flow.CallerAddr()).Stringer("address", addressOf(&p.Flow))
+}
+
+func addressOf(f *packet.Flow) netip.AddrPort { return f.Service.AddrPort() }
+
+// requestID reads the ID of an HTTP/1.1 request from the start of its data;
+// empty if it is not there.
+func requestID(data []byte) string {
+	at := bytes.Index(data, requestIDHeader)
+	if at < 0 {
+		return ""
+	}
+	rest := data[at+len(requestIDHeader):]
+	end := bytes.IndexByte(rest, '\r')
+	if end < 0 {
+		return ""
+	}
+	return string(bytes.TrimSpace(rest[:min(end, maxRequestID)]))
+}
+
+// targetEvent logs a change in what the host believes of a target.
+func (j *journal) targetEvent(e steering.Event) {
+	if e.Answers {
+		j.log.Info().Str("event", "target_answers").Str("target", string(e.Key)).Send()
+		return
+	}
+	j.log.Warn().Str("event", "target_silent").Str("target", string(e.Key)).
+		Dur("silence_ms", e.Silence).Int("flows", e.Blames).Send()
+}
+
+// run reports now and then how many lines were left out.
+func (j *journal) run(ctx context.Context) {
+	ticker := time.NewTicker(summaryInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			if n := j.left.Swap(0); n > 0 {
+				j.log.Info().Str("event", "lines_left_out").Uint64("lines", n).Send()
+			}
+		}
+	}
+}
