Hold openings to what targets finish in time, share one reader a zone, give up flows of dead targets

Change: peers of a zone beat (loads, silence), one reads the store and feeds the others; openings are held when targets have all that they finish in time, repeated ones first; own zone while a slot is free; repeated data to a target that answers nobody ends idempotent flows, so that callers go elsewhere.

--- a/coordination/fleet/types.go
+++ b/coordination/fleet/types.go
@@ -47,6 +47,9 @@
 type Route struct {
 	Endpoint packet.Endpoint
 	Shares   []Share
+	// Idempotent is set if callers may repeat the route's requests after any
+	// failure.
+	Idempotent bool
 }
 
 // ServiceLimits is what the targets of a service can bear.
--- a/coordination/steering/api.go
+++ b/coordination/steering/api.go
@@ -93,6 +93,15 @@
 	// CauseColdLimit is an opening for which only cold targets at their limit
 	// are left.
 	CauseColdLimit
+	// CauseBusy is an opening that waits for its caller's next copy, since the
+	// requests in work fill the targets.
+	CauseBusy
+	// CauseNoCapacity is an opening that is refused since every target has all
+	// the requests that it queues.
+	CauseNoCapacity
+	// CauseTargetSilent is a packet of a flow that was given up since its target
+	// answers nobody.
+	CauseTargetSilent
 	// CauseCount is the number of causes.
 	CauseCount
 )
@@ -101,7 +110,8 @@
 func (c Cause) String() string {
 	names := [CauseCount]string{
 		"known", "placed", "placed-away", "replaced", "not-ready", "no-route",
-		"no-target", "target-gone", "unknown-token", "forged", "cold-limit",
+		"no-target", "target-gone", "unknown-token", "forged", "cold-limit", "busy",
+		"no-capacity", "target-silent",
 	}
 	if c < CauseCount {
 		return names[c]
--- a/coordination/steering/flows.go
+++ b/coordination/steering/flows.go
@@ -15,8 +15,16 @@
 	closedKept = 2 * time.Second
 	// defaultIdle is how long a silent flow is kept without a configuration.
 	defaultIdle = 60 * time.Second
+	// openingFresh is how long an opening counts as work about to come: callers
+	// send their first request with the end of the handshake.
+	openingFresh = 500 * time.Millisecond
+	// busyFresh is how long a request counts as work after its caller's last
+	// packet, and openFresh how long a flow counts as open. A caller that gave
+	// up, or whose packets take another host now, says nothing.
+	busyFresh = 700 * time.Millisecond
+	openFresh = 3 * time.Second
 	// sweepInterval is the time between two looks at all flows.
-	sweepInterval = time.Second
+	sweepInterval = 250 * time.Millisecond
 )
 
 // flow is what a host remembers of one flow. It serves load figures and
@@ -38,8 +46,10 @@
 	// open is set once the caller has answered the target's handshake.
 	open   bool
 	closed bool
-	// sentData is set once data of the caller was forwarded.
-	sentData bool
+	// counted is set while the flow counts as open at its target.
+	counted bool
+	// opening is set until the caller sends data.
+	opening bool
 	// blamed is set when the flow counts against its target.
 	blamed bool
 }
@@ -64,7 +74,7 @@
 	}
 	s.detach(f)
 	f.target = t
-	t.open++
+	s.setCounted(f, true)
 }
 
 // detach takes the flow out of its target's counts.
@@ -73,7 +83,8 @@
 		return
 	}
 	s.setBusy(f, false)
-	f.target.open--
+	s.setOpening(f, false)
+	s.setCounted(f, false)
 	f.target = nil
 }
 
@@ -90,6 +101,32 @@
 	}
 }
 
+// setCounted counts the flow among its target's open ones.
+func (s *Steering) setCounted(f *flow, counted bool) {
+	if f.counted == counted {
+		return
+	}
+	f.counted = counted
+	if counted {
+		f.target.open++
+	} else {
+		f.target.open--
+	}
+}
+
+// setOpening counts whether the flow is about to send its first request.
+func (s *Steering) setOpening(f *flow, opening bool) {
+	if f.opening == opening || f.target == nil {
+		return
+	}
+	f.opening = opening
+	if opening {
+		f.target.opening++
+	} else {
+		f.target.opening--
+	}
+}
+
 // sweep forgets flows that have ended or are silent.
 func (s *Steering) sweep(now time.Duration) {
 	idle := s.view.Config.IdleTimeout
@@ -98,6 +135,15 @@
 	}
 	for key, f := range s.flows {
 		silent := now - f.seen
+		if silent > busyFresh {
+			s.setBusy(f, false)
+		}
+		if silent > openFresh {
+			s.setCounted(f, false)
+		}
+		if silent > openingFresh {
+			s.setOpening(f, false)
+		}
 		kept := idle
 		switch {
 		case f.closed:
--- a/coordination/steering/health.go
+++ b/coordination/steering/health.go
@@ -10,6 +10,9 @@
 	// blamesNeeded is how many flows have to go without an answer when
 	// none of them is an opening, which a target answers at once.
 	blamesNeeded = 2
+	// deadAfter is how long a target has to be silent before flows that their
+	// callers may repeat are given up.
+	deadAfter = 300 * time.Millisecond
 	// firstHold and maxHold bound how long a silent target gets no new flow
 	// before one is tried; each failed try doubles it.
 	firstHold = 500 * time.Millisecond
@@ -81,6 +84,12 @@
 	return first
 }
 
+// dead reports whether a flow that has waited for a time is to be given up: the
+// target has answered nobody for long, though several asked.
+func (h *health) dead(now, waited time.Duration) bool {
+	return h.silent && h.blames >= blamesNeeded && now-h.since >= deadAfter && waited >= silenceBound
+}
+
 // usable reports whether new flows may be placed at the target: it answers, or
 // it is time to try.
 func (h *health) usable(now time.Duration) bool { return !h.silent || now >= h.until }
--- a/coordination/steering/loads.go
+++ b/coordination/steering/loads.go
@@ -10,33 +10,36 @@
 type TargetLoad struct {
 	// Open counts flows, Busy those with a request in work.
 	Open, Busy int
+	// Silent is set while one of the hosts finds that the target does not
+	// answer.
+	Silent bool
 }
 
 // PeerLoads is what the other hosts told lately, summed over them.
 type PeerLoads struct {
-	Targets map[fleet.TargetKey]TargetLoad
+	// Hosts counts the live hosts of this host's zone, itself included.
+	Hosts int
+	// Settled is set once the host has had time to hear of the others.
+	Settled bool
+	Targets map[Token]TargetLoad
 }
 
 // SetPeerLoads replaces what the other hosts told.
 func (s *Steering) SetPeerLoads(l *PeerLoads) {
 	s.peerLoads = l
-	for key, t := range s.targets {
-		t.peersOpen, t.peersBusy = 0, 0
-		if l != nil {
-			told := l.Targets[key]
-			t.peersOpen, t.peersBusy = told.Open, told.Busy
-		}
+	for _, t := range s.targets {
+		told := l.Targets[t.token]
+		t.peersOpen, t.peersBusy, t.peersSilent = told.Open, told.Busy, told.Silent
 	}
 }
 
 // TargetStats is what a host knows of a target, for metrics and other hosts.
 type TargetStats struct {
 	Key     fleet.TargetKey
+	Token   Token
 	Service string
 	Zone    string
 	TargetLoad
-	// Silent is set while the target is believed not to answer.
-	Silent bool
 	// Takes is set if the target may be given new flows.
 	Takes bool
 	// SaidAge is how old the target's last word in the store is.
@@ -51,9 +54,9 @@
 			continue
 		}
 		list = append(list, TargetStats{
-			Key: key, Service: t.entry.Service, Zone: t.entry.Zone,
-			TargetLoad: TargetLoad{Open: t.open, Busy: t.busy},
-			Silent:     t.health.silent, Takes: t.takes(), SaidAge: now - t.entry.Said,
+			Key: key, Token: t.token, Service: t.entry.Service, Zone: t.entry.Zone,
+			TargetLoad: TargetLoad{Open: t.open, Busy: t.busy + t.opening, Silent: t.health.silent},
+			Takes:      t.takes(), SaidAge: now - t.entry.Said,
 		})
 	}
 	return list
--- a/coordination/steering/place.go
+++ b/coordination/steering/place.go
@@ -12,11 +12,14 @@
 	openWeight = 0.04
 	// awayLoad is how much more load, as a share of a target's slots, a target
 	// of the own availability zone may have before another zone is used.
-	awayLoad = 0.5
+	awayLoad = 1.0
 	// coldFactor is how much more load a request is to a cold target.
 	coldFactor = 2.0
 	// silentLoad puts silent targets behind all others.
 	silentLoad = 1e6
+	// peerSilentLoad puts targets that other hosts find silent behind those
+	// that nobody does.
+	peerSilentLoad = 1000
 	// missingLoad puts targets whose entry lapsed behind those whose entry
 	// stands.
 	missingLoad = 100
@@ -32,27 +35,57 @@
 	if pl == nil {
 		return nil, CauseNoTarget
 	}
+	best, without := s.cheapest(now, pl, p, former)
+	if best == nil {
+		return nil, without
+	}
+	s.spendCold(now, best, pl.limits)
+	if best.entry.Zone != s.cfg.Zone {
+		return best, CausePlacedAway
+	}
+	return best, CausePlaced
+}
+
+// cheapest returns the target with the lowest cost, or why there is none.
+func (s *Steering) cheapest(now time.Duration, pl *pool, p *Segment, former *target) (*target, Cause) {
+	hash := p.Flow.Hash()
+	bound := queueBound(p.Copy)
 	var best *target
 	var bestCost float64
+	without := CauseNoTarget
 	for _, t := range pl.targets {
-		if !t.takes() || (pl.limits.Connections > 0 && t.open >= pl.limits.Connections) {
+		if !t.takes() || (pl.limits.Connections > 0 && t.open+t.peersOpen >= pl.limits.Connections) {
+			continue
+		}
+		if !s.bearsCold(now, t, pl.limits) {
+			without = max(without, CauseColdLimit)
 			continue
 		}
-		cost := s.cost(now, t, hash)
-		if t == former {
-			cost += silentLoad / 2
+		if t.queued() >= bound {
+			without = queueFull(p.Copy)
+			continue
 		}
+		cost := s.cost(now, t, hash) + formerCost(t, former, s.cfg.Zone)
 		if best == nil || cost < bestCost {
 			best, bestCost = t, cost
 		}
 	}
+	return best, without
+}
+
+// formerCost puts the target that did not answer the flow's earlier opening
+// behind all others, and the rest of its zone behind those of other zones: the
+// zone may be cut off.
+func formerCost(t, former *target, zone string) float64 {
 	switch {
-	case best == nil:
-		return nil, CauseNoTarget
-	case best.entry.Zone != s.cfg.Zone:
-		return best, CausePlacedAway
+	case former == nil:
+		return 0
+	case t == former:
+		return silentLoad / 2
+	case t.entry.Zone == former.entry.Zone && t.entry.Zone != zone:
+		return silentLoad / 4
 	}
-	return best, CausePlaced
+	return 0
 }
 
 // cost ranks a target for a flow; the lowest is taken.
@@ -64,6 +97,9 @@
 	if !t.health.usable(now) {
 		cost += silentLoad
 	}
+	if t.peersSilent {
+		cost += peerSilentLoad
+	}
 	if t.entry.Missing {
 		cost += missingLoad
 	}
@@ -71,14 +107,14 @@
 	return cost + tieSpread*spread
 }
 
-// load is what the target has to do for this host's callers, as a share of its
-// slots.
+// load is what the target has to do, as far as the hosts of this zone know, in
+// multiples of its slots.
 func (s *Steering) load(now time.Duration, t *target) float64 {
-	work := float64(t.busy) + openWeight*float64(t.open)
+	load := t.queued() + openWeight*float64(t.open+t.peersOpen)/float64(max(t.entry.Slots, 1))
 	if t.cold(now) {
-		work *= coldFactor
+		load *= coldFactor
 	}
-	return work / float64(max(t.entry.Slots, 1))
+	return load
 }
 
 // choose picks a service of the route by its weight; the same flow gets the
--- a/coordination/steering/steering.go
+++ b/coordination/steering/steering.go
@@ -12,6 +12,14 @@
 // of 1,200 bytes. Data beyond it shows that the target acknowledged some.
 const maxInFlight = 16 * 1200
 
+const (
+	// unknownWait is how long nothing may be heard of a token's target before
+	// its flows are given up: all hosts learn of a target within 3 s.
+	unknownWait = 4 * time.Second
+	// maxUnknown bounds the unknown tokens that are kept.
+	maxUnknown = 1000
+)
+
 // Config says who decides.
 type Config struct {
 	// Zone is the availability zone of this host.
@@ -19,6 +27,9 @@
 	// Events is told of changes in what the host believes of targets; it may
 	// be nil.
 	Events func(Event)
+	// Trusted reports whether the store has told this host all for a while; nil
+	// stands for never.
+	Trusted func() bool
 }
 
 // Event is a change in what the host believes of a target.
@@ -42,6 +53,8 @@
 	routes  map[packet.Endpoint]*route
 	flows   map[packet.Flow]*flow
 	swept   time.Duration
+	// unknown holds when a token that no target has was seen first.
+	unknown map[Token]time.Duration
 	counts  Counts
 	// peerLoads is what the other hosts told last, nil if nothing.
 	peerLoads *PeerLoads
@@ -66,6 +79,7 @@
 		targets: map[fleet.TargetKey]*target{},
 		tokens:  map[Token]*target{},
 		flows:   map[packet.Flow]*flow{},
+		unknown: map[Token]time.Duration{},
 	}
 }
 
@@ -119,7 +133,7 @@
 		s.handleOpening(now, p, r, a)
 		return
 	}
-	s.handleFlow(now, p, a)
+	s.handleFlow(now, p, r, a)
 }
 
 // fromService reports whether a packet claims to come from a service: callers
@@ -153,7 +167,7 @@
 	}
 	t, cause := s.place(now, p, r, former)
 	if t == nil {
-		s.refuse(p, a, cause, verdict.NotRun)
+		s.turnAway(p, a, cause)
 		return
 	}
 	if f == nil {
@@ -163,13 +177,25 @@
 		cause = CauseReplaced
 	}
 	a.Load = s.load(now, t)
-	*f = flow{target: f.target, busy: f.busy, placed: now, seen: now, nextSeq: p.Seq + 1, baseSeq: p.Seq + 1}
+	s.detach(f)
+	*f = flow{placed: now, seen: now, nextSeq: p.Seq + 1, baseSeq: p.Seq + 1}
 	s.attach(f, t)
+	s.setOpening(f, true)
 	t.health.tried(now)
 	a.Placed = true
 	s.forward(now, t, a, cause)
 }
 
+// turnAway answers an opening that gets no target: it is dropped if the caller
+// repeats it soon, else refused at once.
+func (s *Steering) turnAway(p *Segment, a *Action, cause Cause) {
+	if cause == CauseBusy {
+		a.Cause = cause
+		return
+	}
+	s.refuse(p, a, cause, verdict.NotRun)
+}
+
 // keepsOpening reports whether a repeated opening goes to the same target
 // again.
 func (s *Steering) keepsOpening(now time.Duration, p *Segment, f *flow) bool {
@@ -190,24 +216,20 @@
 
 // handleFlow sends a packet of an open flow to the target that its token
 // names.
-func (s *Steering) handleFlow(now time.Duration, p *Segment, a *Action) {
+func (s *Steering) handleFlow(now time.Duration, p *Segment, r *route, a *Action) {
 	t := s.tokens[p.Token]
 	f := s.flows[p.Flow]
 	if t == nil && f != nil {
 		t = f.target
 	}
 	if t == nil {
-		// The target may be one that this host has not heard of yet.
-		a.Cause = CauseUnknownToken
+		s.handleUnknown(now, p, a)
 		return
 	}
 	if t.entry.Gone && !s.answersStill(t) {
 		s.refuse(p, a, CauseTargetGone, verdict.MayHaveRun)
 		a.Key = t.entry.Key
-		if f != nil {
-			s.detach(f)
-			delete(s.flows, p.Flow)
-		}
+		s.forget(p.Flow)
 		return
 	}
 	if f == nil {
@@ -217,9 +239,43 @@
 	}
 	s.attach(f, t)
 	s.observe(now, p, f, a)
+	if r.idempotent && len(p.Payload) > 0 && t.health.dead(now, now-f.asked) {
+		s.refuse(p, a, CauseTargetSilent, verdict.MayHaveRun)
+		a.Key = t.entry.Key
+		s.forget(p.Flow)
+		return
+	}
 	s.forward(now, t, a, CauseKnown)
 }
 
+// handleUnknown decides about a packet whose token no target has. The target
+// may be one that this host has not heard of yet; if nothing is heard of it
+// for long while the store tells all, it is gone.
+func (s *Steering) handleUnknown(now time.Duration, p *Segment, a *Action) {
+	if p.Token == 0 || s.cfg.Trusted == nil || !s.cfg.Trusted() {
+		clear(s.unknown)
+		a.Cause = CauseUnknownToken
+		return
+	}
+	first, known := s.unknown[p.Token]
+	if !known && len(s.unknown) < maxUnknown {
+		s.unknown[p.Token] = now
+	}
+	if !known || now < first+unknownWait {
+		a.Cause = CauseUnknownToken
+		return
+	}
+	s.refuse(p, a, CauseUnknownToken, verdict.MayHaveRun)
+}
+
+// forget drops what is known of a flow.
+func (s *Steering) forget(key packet.Flow) {
+	if f := s.flows[key]; f != nil {
+		s.detach(f)
+		delete(s.flows, key)
+	}
+}
+
 // answersStill reports whether callers saw answers of a target after it was
 // taken as gone.
 func (s *Steering) answersStill(t *target) bool {
@@ -230,6 +286,7 @@
 func (s *Steering) observe(now time.Duration, p *Segment, f *flow, a *Action) {
 	t := f.target
 	f.seen = now
+	s.setCounted(f, !f.closed)
 	if !f.open {
 		f.open = true
 		f.ack = p.Ack
@@ -269,7 +326,7 @@
 	if !f.busy {
 		f.asked = now
 		a.RequestStarts = true
-		f.sentData = true
+		s.setOpening(f, false)
 	}
 	if end-f.baseSeq > maxInFlight {
 		f.baseSeq = end - maxInFlight/2
--- a/coordination/steering/target.go
+++ b/coordination/steering/target.go
@@ -16,12 +16,17 @@
 	out bool
 	// shadowed is set while another target with the same token is older.
 	shadowed bool
-	// open and busy count the flows at the target and the requests in work, as
-	// this host sees them.
-	open, busy int
+	// open, opening and busy count this host's flows at the target: all, those
+	// that have sent no data yet, and those with a request in work.
+	open, opening, busy int
 	// peers are the same counts as the other hosts tell them.
 	peersOpen, peersBusy int
-	health               health
+	// peersSilent is set while another host of the zone finds the target silent.
+	peersSilent bool
+	health      health
+	// coldSpent is when this host's share of the target's cold rate is used up
+	// to.
+	coldSpent time.Duration
 }
 
 // TokenOf returns the token of a target, the same on every host and never 0.
--- a/coordination/steering/view.go
+++ b/coordination/steering/view.go
@@ -9,8 +9,9 @@
 
 // route is an address with the pools of its services.
 type route struct {
-	shares []share
-	total  int
+	shares     []share
+	total      int
+	idempotent bool
 }
 
 // share is a service's part of a route.
@@ -48,7 +49,7 @@
 }
 
 func newRoute(r *fleet.Route, pools map[string]*pool) *route {
-	made := &route{}
+	made := &route{idempotent: r.Idempotent}
 	for _, sh := range r.Shares {
 		p := pools[sh.Service]
 		if p == nil || sh.Weight <= 0 {
@@ -79,6 +80,11 @@
 		}
 	}
 	s.tokens = tokens
+	for token := range s.unknown {
+		if tokens[token] != nil {
+			delete(s.unknown, token)
+		}
+	}
 	s.targets = known
 }
 
--- a/internal/tokenhost/host.go
+++ b/internal/tokenhost/host.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,9 +19,11 @@
 	"github.com/jujubehaven/jujubehaven/coordination/store"
 	"github.com/jujubehaven/jujubehaven/internal/settings"
 	"github.com/jujubehaven/jujubehaven/protocol/document"
+	wire "github.com/jujubehaven/jujubehaven/protocol/gossip"
 	"github.com/jujubehaven/jujubehaven/transport/admin"
 	"github.com/jujubehaven/jujubehaven/transport/direct"
 	"github.com/jujubehaven/jujubehaven/transport/follow"
+	"github.com/jujubehaven/jujubehaven/transport/gossip"
 )
 
 // closeTimeout bounds how long open admin requests may take at the end.
@@ -41,6 +44,7 @@
 	settings settings.Settings
 	packets  *direct.Server
 	follower *follow.Follower
+	exchange *gossip.Exchange
 	admin    *admin.Server
 	journal  *journal
 	registry *prometheus.Registry
@@ -59,14 +63,18 @@
 	var err error
 	h.packets, err = direct.New(direct.Config{
 		Listen: s.Data[0], Codec: around.Codec, Observer: h.journal, Clock: h.clock,
-		Steering: steering.New(steering.Config{Zone: s.Zone, Events: h.journal.targetEvent}),
+		Steering: steering.New(steering.Config{Zone: s.Zone, Events: h.journal.targetEvent, Trusted: h.trusted}),
 	})
 	if err != nil {
 		return nil, err
 	}
+	if err := h.openExchange(); err != nil {
+		h.Close()
+		return nil, err
+	}
 	h.follower = follow.New(follow.Config{
 		Feed: around.Feed, Keys: around.Keys, Decoder: around.Decoder,
-		Publish: h.packets.SetView, Clock: h.clock, Log: h.log,
+		Publish: h.packets.SetView, Clock: h.clock, Log: h.log, Peers: h.peers(),
 	})
 	h.registry.MustRegister(newCollector(h))
 	h.admin = admin.New(admin.Config{Metrics: h.registry, Ready: h.ready, Documents: noDocuments})
@@ -77,6 +85,36 @@
 	return h, nil
 }
 
+// openExchange opens the exchange with the other hosts, if the settings give
+// it an address.
+func (h *Host) openExchange() error {
+	s := h.settings
+	if !s.Control.IsValid() {
+		return nil
+	}
+	seeds := make([]netip.AddrPort, 0, len(s.Peers.Seeds))
+	for _, seed := range s.Peers.Seeds {
+		// All hosts listen on one port.
+		if addr := netip.AddrPortFrom(seed.Addr(), s.Control.Port()); addr != s.Control {
+			seeds = append(seeds, addr)
+		}
+	}
+	var err error
+	h.exchange, err = gossip.New(gossip.Config{
+		Listen: s.Control, Seeds: seeds, Local: local{h}, Clock: h.clock, Log: h.log,
+		Self: wire.Host{Name: s.Host, Zone: s.Zone, Addr: s.Control, Started: h.start.UnixNano()},
+	})
+	return err
+}
+
+// peers returns the exchange for the follower, nil if there is none.
+func (h *Host) peers() follow.Peers {
+	if h.exchange == nil {
+		return nil
+	}
+	return h.exchange
+}
+
 func (h *Host) listen() error {
 	var err error
 	if h.adminListener, err = net.Listen("tcp", h.settings.Admin.String()); err != nil {
@@ -101,13 +139,17 @@
 func (h *Host) Run(leave, abort context.Context) error {
 	ctx, cancel := context.WithCancel(abort)
 	defer cancel()
-	failed := make(chan error, 3)
+	failed := make(chan error, 4)
 	var wg sync.WaitGroup
 	wg.Go(func() { failed <- h.packets.Run() })
 	wg.Go(func() { failed <- h.admin.Serve(h.adminListener) })
 	if h.metricsListener != nil {
 		wg.Go(func() { failed <- h.admin.Serve(h.metricsListener) })
 	}
+	if h.exchange != nil {
+		wg.Go(func() { failed <- h.exchange.Serve() })
+		wg.Go(func() { h.exchange.Run(ctx) })
+	}
 	wg.Go(func() { h.follower.Run(ctx) })
 	wg.Go(func() { h.journal.run(ctx) })
 	h.log.Info().Str("event", "host_started").Str("zone", h.settings.Zone).Str("steering", string(h.settings.Steering)).
@@ -142,6 +184,9 @@
 	}
 }
 
+// trusted reports whether the store has told this host all for a while.
+func (h *Host) trusted() bool { return h.follower.Trusted() }
+
 // ready returns nil if the host forwards packets.
 func (h *Host) ready() error {
 	switch {
@@ -165,9 +210,14 @@
 // Close releases the sockets.
 func (h *Host) Close() {
 	h.logClose("data", h.packets.Close())
-	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
-	defer cancel()
-	h.logClose("admin", h.admin.Close(ctx))
+	if h.exchange != nil {
+		h.logClose("control", h.exchange.Close())
+	}
+	if h.admin != nil {
+		ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+		defer cancel()
+		h.logClose("admin", h.admin.Close(ctx))
+	}
 	for _, l := range []net.Listener{h.adminListener, h.metricsListener} {
 		if l != nil {
 			_ = l.Close() // closed by the admin server if it ran
--- /dev/null
+++ b/internal/tokenhost/local.go
@@ -0,0 +1,32 @@
+package tokenhost
+
+import (
+	"github.com/jujubehaven/jujubehaven/coordination/steering"
+	"github.com/jujubehaven/jujubehaven/protocol/gossip"
+)
+
+// local implements the exchange's view of the rest of the host.
+type local struct{ h *Host }
+
+// StoreAnswers implements gossip.Local.
+func (l local) StoreAnswers() bool { return l.h.follower.StoreAnswers() }
+
+// Leaving implements gossip.Local.
+func (l local) Leaving() bool { return l.h.leaving.Load() }
+
+// TakeFeed implements gossip.Local.
+func (l local) TakeFeed(f *gossip.Feed) { l.h.follower.TakeFeed(f) }
+
+// TakeLoads implements gossip.Local.
+func (l local) TakeLoads(p *steering.PeerLoads) { l.h.packets.SetPeerLoads(p) }
+
+// Loads implements gossip.Local.
+func (l local) Loads() []gossip.Load {
+	var loads []gossip.Load
+	for _, t := range l.h.packets.Stats().Targets {
+		if t.Open > 0 || t.Busy > 0 || t.Silent {
+			loads = append(loads, gossip.Load{Token: uint32(t.Token), Open: t.Open, Busy: t.Busy, Silent: t.Silent})
+		}
+	}
+	return loads
+}
--- a/transport/direct/direct.go
+++ b/transport/direct/direct.go
@@ -73,10 +73,10 @@
 	stats  atomic.Pointer[Stats]
 	closed atomic.Bool
 	// The rest belongs to the goroutine of Run.
-	now         Stats
-	seen        *fleet.View
-	seenLoads   *steering.PeerLoads
-	ticked      time.Duration
+	now       Stats
+	seen      *fleet.View
+	seenLoads *steering.PeerLoads
+	ticked    time.Duration
 }
 
 // New opens the socket.
--- a/transport/follow/follow.go
+++ b/transport/follow/follow.go
@@ -13,6 +13,7 @@
 
 	"github.com/jujubehaven/jujubehaven/coordination/fleet"
 	"github.com/jujubehaven/jujubehaven/coordination/store"
+	"github.com/jujubehaven/jujubehaven/protocol/gossip"
 )
 
 const (
@@ -21,11 +22,23 @@
 	DefaultPace = 900 * time.Millisecond
 	// watchWait is how long a read waits for a change. It bounds how late a
 	// connection that has gone silent is noticed.
-	watchWait = 2 * time.Second
+	watchWait = time.Second
 	// firstRetry and maxRetry bound the wait after a failed call; it doubles
 	// and is spread by up to a half.
 	firstRetry = 100 * time.Millisecond
 	maxRetry   = 800 * time.Millisecond
+	// feedPatience is how long a host waits for the next feed of the host that
+	// reads for its zone before it asks the store itself, spread by up to
+	// feedSpread: a feed comes every pace, and one may be lost.
+	feedPatience = 1500 * time.Millisecond
+	feedSpread   = 300 * time.Millisecond
+	// trustedFresh is how old the last news may be, and trustedAfter how long
+	// the last trouble must be past, for the host to conclude that what it has
+	// not heard of is not there.
+	trustedFresh = 2500 * time.Millisecond
+	trustedAfter = 4 * time.Second
+	// missedSpread spreads the calls of hosts that all missed one feed.
+	missedSpread = 150 * time.Millisecond
 )
 
 // Config says what a Follower does.
@@ -37,10 +50,21 @@
 	Publish func(*fleet.View)
 	Clock   func() time.Duration
 	Log     zerolog.Logger
+	// Peers is the exchange with the other hosts of the zone, nil if there is
+	// none.
+	Peers Peers
 	// Pace replaces DefaultPace if it is not 0.
 	Pace time.Duration
 }
 
+// Peers lets one host of a zone read the store for the others.
+type Peers interface {
+	// Reads reports whether this host reads the store for its zone.
+	Reads() bool
+	// SendFeed tells the others what the store told.
+	SendFeed(f *gossip.Feed)
+}
+
 // Follower follows the store. Its methods are safe for concurrent use.
 type Follower struct {
 	cfg Config
@@ -49,6 +73,20 @@
 	mu    sync.Mutex
 	dir   *fleet.Directory
 	stats Stats
+	// index is the position in the store's history up to which all is known;
+	// listed is set once it means anything.
+	index  store.Index
+	listed bool
+	// fresh is when the store or a feed last told this host something.
+	fresh time.Duration
+	// woken tells Run that a feed has come, or that one was missed.
+	woken chan struct{}
+	// missed is set when a feed showed that this host lacks changes.
+	missed bool
+	// troubled is when a call failed last or the host began to follow.
+	troubled time.Duration
+	// away is set while the store does not answer this host.
+	away bool
 	// rejected holds the entries that can't be read, so that each is logged
 	// once.
 	rejected map[store.Key]string
@@ -63,7 +101,9 @@
 	Answered      time.Duration
 	ConfigVersion uint64
 	Rejected      int
-	Ready         bool
+	// Feeds counts what other hosts told.
+	Feeds uint64
+	Ready bool
 }
 
 // New returns a follower that knows nothing.
@@ -72,7 +112,7 @@
 		cfg.Pace = DefaultPace
 	}
 	return &Follower{
-		cfg: cfg, dir: fleet.NewDirectory(), rejected: map[store.Key]string{},
+		cfg: cfg, dir: fleet.NewDirectory(), rejected: map[store.Key]string{}, woken: make(chan struct{}, 1),
 		stats: Stats{Calls: map[store.Op]uint64{}, Failures: map[store.Kind]uint64{}},
 	}
 }
@@ -84,30 +124,37 @@
 	return f.dir.Ready()
 }
 
+// StoreAnswers reports whether the store answered this host's last call.
+func (f *Follower) StoreAnswers() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.listed && !f.away
+}
+
+// Trusted reports whether the store has told this host all for a while.
+func (f *Follower) Trusted() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.cfg.Clock()
+	return f.listed && !f.away && now < f.fresh+trustedFresh && now >= f.troubled+trustedAfter
+}
+
 // Run follows until ctx is done.
 func (f *Follower) Run(ctx context.Context) {
 	retry := firstRetry
-	listed := false
-	var index store.Index
 	for ctx.Err() == nil {
 		start := f.cfg.Clock()
-		var err error
-		if listed {
-			index, err = f.changes(ctx, index)
-		} else {
-			index, err = f.list(ctx)
-		}
+		err := f.read(ctx)
 		if ctx.Err() != nil {
 			return
 		}
 		switch {
 		case err == nil:
-			listed = true
 			retry = firstRetry
 			f.sleep(ctx, start+f.cfg.Pace-f.cfg.Clock())
+			f.waitForTurn(ctx)
 		case store.IsKind(err, store.HistoryLost):
 			f.failed(err)
-			listed = false
 		default:
 			f.failed(err)
 			f.sleep(ctx, retry/2+rand.N(retry))
@@ -116,8 +163,84 @@
 	}
 }
 
+// read asks the store once for all, or for what has changed.
+func (f *Follower) read(ctx context.Context) error {
+	f.mu.Lock()
+	listed, index := f.listed, f.index
+	f.mu.Unlock()
+	if listed {
+		return f.changes(ctx, index)
+	}
+	return f.list(ctx)
+}
+
+// waitForTurn waits while another host of the zone reads the store and its
+// feeds come.
+func (f *Follower) waitForTurn(ctx context.Context) {
+	if f.cfg.Peers == nil {
+		return
+	}
+	patience := feedPatience + rand.N(feedSpread)
+	for ctx.Err() == nil && !f.cfg.Peers.Reads() {
+		f.mu.Lock()
+		wait := f.fresh + patience - f.cfg.Clock()
+		missed := f.missed
+		f.mu.Unlock()
+		if missed {
+			f.sleep(ctx, rand.N(missedSpread))
+			return
+		}
+		if wait <= 0 {
+			return
+		}
+		timer := time.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case <-f.woken:
+		}
+		timer.Stop()
+	}
+}
+
+// TakeFeed applies what another host of the zone read from the store.
+func (f *Follower) TakeFeed(feed *gossip.Feed) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.listed || feed.To < f.index {
+		return
+	}
+	defer f.wake()
+	if feed.From > f.index || feed.Partial {
+		f.missed = true
+		return
+	}
+	f.stats.Feeds++
+	for _, c := range feed.Changes {
+		if store.Index(c.Revision) > f.index {
+			f.apply(store.Change{Entry: store.Entry{Key: c.Key, Value: c.Value, Revision: c.Revision}, Deleted: c.Deleted})
+		}
+	}
+	f.told(feed.To)
+	f.publish()
+}
+
+// told records that all is known up to an index.
+func (f *Follower) told(index store.Index) {
+	f.index = max(f.index, index)
+	f.fresh = f.cfg.Clock()
+	f.missed = false
+}
+
+func (f *Follower) wake() {
+	select {
+	case f.woken <- struct{}{}:
+	default: // Run has not taken the last one yet
+	}
+}
+
 // list reads everything, in two calls at once.
-func (f *Follower) list(ctx context.Context) (store.Index, error) {
+func (f *Follower) list(ctx context.Context) error {
 	var operator, targets store.Snapshot
 	var operatorErr, targetsErr error
 	var wg sync.WaitGroup
@@ -128,16 +251,18 @@
 	defer f.mu.Unlock()
 	f.stats.Calls[store.OpList] += 2
 	if operatorErr != nil {
-		return 0, operatorErr
+		return operatorErr
 	}
 	if targetsErr != nil {
-		return 0, targetsErr
+		return targetsErr
 	}
 	f.answered()
 	f.takeOperator(operator.Entries)
 	f.takeTargets(targets.Entries)
+	f.index, f.listed = 0, true
+	f.told(min(operator.Index, targets.Index))
 	f.publish()
-	return min(operator.Index, targets.Index), nil
+	return nil
 }
 
 func (f *Follower) takeOperator(entries []store.Entry) {
@@ -164,58 +289,86 @@
 	f.dir.SetTargets(f.cfg.Clock(), list)
 }
 
-// changes reads what has changed after an index and returns the next one.
-func (f *Follower) changes(ctx context.Context, after store.Index) (store.Index, error) {
+// changes reads what has changed after an index, and tells the other hosts of
+// the zone if this one reads for them.
+func (f *Follower) changes(ctx context.Context, after store.Index) error {
 	got, err := f.cfg.Feed.Changes(ctx, "", after, watchWait)
+	feed := f.take(after, got, err)
+	if feed != nil && f.cfg.Peers != nil && f.cfg.Peers.Reads() {
+		f.cfg.Peers.SendFeed(feed)
+	}
+	return err
+}
+
+// take applies changes and returns what the other hosts need of them.
+func (f *Follower) take(after store.Index, got store.Changes, err error) *gossip.Feed {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.stats.Calls[store.OpChanges]++
 	if err != nil {
-		return after, err
+		return nil
 	}
 	f.answered()
+	feed := &gossip.Feed{From: after, To: got.Index}
 	for _, c := range got.List {
-		f.apply(c)
+		if store.Index(c.Revision) <= f.index {
+			continue // a feed told it meanwhile
+		}
+		if f.apply(c) {
+			feed.Changes = append(feed.Changes, gossip.Change{Key: c.Key, Value: c.Value, Revision: c.Revision, Deleted: c.Deleted})
+		}
 	}
+	f.told(got.Index)
 	f.publish()
-	return got.Index, nil
+	return feed
 }
 
-func (f *Follower) apply(c store.Change) {
+// apply takes one change in and reports whether it says more than that a
+// target still lives.
+func (f *Follower) apply(c store.Change) bool {
 	switch {
 	case c.Key.HasPrefix(f.cfg.Keys.Operator):
-		change := f.decodeOperator(c.Entry, c.Deleted)
-		if change.Config != nil {
-			f.setConfig(*change.Config)
-		}
-		if change.Zone != "" && f.dir.SetZone(change.Zone, change.ZoneOut) {
-			f.cfg.Log.Info().Str("event", "zone_changed").Str("zone", change.Zone).Bool("out", change.ZoneOut).
-				Uint64("revision", uint64(c.Revision)).Send()
-		}
-	case c.Key.HasPrefix(f.cfg.Keys.Targets) && c.Deleted:
-		key := fleet.TargetKey(c.Key[len(f.cfg.Keys.Targets):])
+		f.applyOperator(c)
+		return true
+	case !c.Key.HasPrefix(f.cfg.Keys.Targets):
+		return false
+	}
+	key := fleet.TargetKey(c.Key[len(f.cfg.Keys.Targets):])
+	if c.Deleted {
 		delete(f.rejected, c.Key)
 		f.dir.RemoveTarget(f.cfg.Clock(), key)
 		f.cfg.Log.Info().Str("event", "target_removed").Str("target", string(key)).Uint64("revision", uint64(c.Revision)).Send()
-	case c.Key.HasPrefix(f.cfg.Keys.Targets):
-		t, ok := f.decodeTarget(c.Entry)
-		if !ok {
-			// The target writes its entry again with its next beat, if it lives.
-			f.dir.RemoveTarget(f.cfg.Clock(), fleet.TargetKey(c.Key[len(f.cfg.Keys.Targets):]))
-			return
-		}
-		f.putTarget(t)
+		return true
 	}
+	t, ok := f.decodeTarget(c.Entry)
+	if !ok {
+		// The target writes its entry again with its next beat, if it lives.
+		f.dir.RemoveTarget(f.cfg.Clock(), key)
+		return true
+	}
+	return f.putTarget(t)
 }
 
-func (f *Follower) putTarget(t fleet.Target) {
+func (f *Follower) applyOperator(c store.Change) {
+	change := f.decodeOperator(c.Entry, c.Deleted)
+	if change.Config != nil {
+		f.setConfig(*change.Config)
+	}
+	if change.Zone != "" && f.dir.SetZone(change.Zone, change.ZoneOut) {
+		f.cfg.Log.Info().Str("event", "zone_changed").Str("zone", change.Zone).Bool("out", change.ZoneOut).
+			Uint64("revision", uint64(c.Revision)).Send()
+	}
+}
+
+func (f *Follower) putTarget(t fleet.Target) bool {
 	change := f.dir.PutTarget(f.cfg.Clock(), t)
 	if change == fleet.ChangeNone {
-		return
+		return false
 	}
 	f.cfg.Log.Info().Str("event", "target_changed").Str("target", string(t.Key)).Str("change", change.String()).
 		Str("service", t.Service).Str("zone", t.Zone).Stringer("address", t.Addr).Bool("draining", t.Draining).
 		Dur("slow_ms", t.SlowFor).Send()
+	return true
 }
 
 func (f *Follower) setConfig(c fleet.Config) {
@@ -256,6 +409,7 @@
 func (f *Follower) answered() {
 	now := f.cfg.Clock()
 	f.stats.Answered = now
+	f.away = false
 	if f.dir.StoreBack(now) {
 		f.cfg.Log.Info().Str("event", "store_regained").Send()
 	}
@@ -265,6 +419,7 @@
 func (f *Follower) failed(err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.troubled = f.cfg.Clock()
 	kind := store.Unavailable
 	var e *store.Error
 	if errors.As(err, &e) {
@@ -272,9 +427,11 @@
 	}
 	f.stats.Failures[kind]++
 	if kind == store.HistoryLost {
+		f.listed = false
 		f.cfg.Log.Warn().Str("event", "store_history_lost").Err(err).Send()
 		return
 	}
+	f.away = true
 	if f.dir.StoreAway() {
 		f.cfg.Log.Warn().Str("event", "store_lost").Err(err).Send()
 	}
