--- a/coordination/steering/queue.go
+++ b/coordination/steering/queue.go
@@ -13,13 +13,13 @@
 	// freshQueue bounds the requests at a target, in multiples of its slots,
 	// beyond which a fresh opening is held: those in work and as many again, so
 	// that it waits about as long as it takes to serve.
-	freshQueue = 2.0
+	freshQueue = 3.0
 	// repeatedQueue is the same bound for an opening that was held or lost
 	// before; it is late already and goes behind fresh ones.
-	repeatedQueue = 1.34
+	repeatedQueue = 2.0
 	// fullQueue bounds the last copy of an opening, which the caller does not
 	// repeat: targets queue four requests a slot and reject more.
-	fullQueue = 4.0
+	fullQueue = 4.5
 	// lastCopy is the number of the caller's last copy of an opening.
 	lastCopy = 2
 )
