Read the store in one call at the start and compress feeds

Cause: on the grown site 500 calls came before traffic, as feeds over 8 KB made every host of a zone ask for itself, and each start took two calls; hosts that the store refused retried although feeds came.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -41,8 +41,8 @@
 	Admin netip.AddrPort
 	// Metrics serves metrics alone over HTTP; it is not valid if there is none.
 	Metrics netip.AddrPort
-	Fabric Fabric
-	Peers  Peers
+	Fabric  Fabric
+	Peers   Peers
 	// Platform is the base URL of the platform's key-value service.
 	Platform string
 	TLS      TLS
--- a/protocol/gossip/gossip.go
+++ b/protocol/gossip/gossip.go
@@ -4,7 +4,10 @@
 package gossip
 
 import (
+	"bytes"
+	"compress/gzip"
 	"encoding/json"
+	"io"
 	"net/netip"
 
 	"github.com/cockroachdb/errors"
@@ -12,9 +15,18 @@
 	"github.com/jujubehaven/jujubehaven/coordination/store"
 )
 
-// MaxBytes bounds a datagram, so that it crosses any network of the hosts in
-// few fragments.
-const MaxBytes = 8 << 10
+const (
+	// MaxBytes bounds a datagram.
+	MaxBytes = 32 << 10
+	// compressAbove is the length from which a datagram is compressed: below
+	// it is one packet of any network.
+	compressAbove = 1200
+	// maxMessage bounds a message after it was decompressed, in bytes.
+	maxMessage = 4 << 20
+)
+
+// gzipMagic begins compressed datagrams; all others begin with '{'.
+var gzipMagic = []byte{0x1f, 0x8b}
 
 // Kind says what a datagram is.
 type Kind string
@@ -91,15 +103,44 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "gossip")
 	}
+	if len(b) > compressAbove {
+		b = compress(b)
+	}
 	if len(b) > MaxBytes {
 		return nil, errors.Newf("gossip: %d bytes, more than %d", len(b), MaxBytes)
 	}
 	return b, nil
 }
 
+func compress(b []byte) []byte {
+	var out bytes.Buffer
+	w := gzip.NewWriter(&out)
+	_, _ = w.Write(b) // a buffer takes all
+	_ = w.Close()
+	return out.Bytes()
+}
+
+func decompress(b []byte) ([]byte, error) {
+	r, err := gzip.NewReader(bytes.NewReader(b))
+	if err != nil {
+		return nil, err
+	}
+	b, err = io.ReadAll(io.LimitReader(r, maxMessage+1))
+	if err == nil && len(b) > maxMessage {
+		return nil, errors.Newf("more than %d bytes", maxMessage)
+	}
+	return b, err
+}
+
 // Decode reads a datagram.
 func Decode(b []byte) (Message, error) {
 	var m Message
+	if bytes.HasPrefix(b, gzipMagic) {
+		var err error
+		if b, err = decompress(b); err != nil {
+			return Message{}, errors.Wrap(err, "gossip")
+		}
+	}
 	if err := json.Unmarshal(b, &m); err != nil {
 		return Message{}, errors.Wrap(err, "gossip")
 	}
--- a/transport/follow/follow.go
+++ b/transport/follow/follow.go
@@ -159,6 +159,7 @@
 			f.failed(err)
 			f.sleep(ctx, retry/2+rand.N(retry))
 			retry = min(2*retry, maxRetry)
+			f.waitForTurn(ctx)
 		}
 	}
 }
@@ -239,28 +240,20 @@
 	}
 }
 
-// list reads everything, in two calls at once.
+// list reads everything, in one call as long as it fits a page of the store.
 func (f *Follower) list(ctx context.Context) error {
-	var operator, targets store.Snapshot
-	var operatorErr, targetsErr error
-	var wg sync.WaitGroup
-	wg.Go(func() { operator, operatorErr = f.cfg.Feed.List(ctx, f.cfg.Keys.Operator) })
-	wg.Go(func() { targets, targetsErr = f.cfg.Feed.List(ctx, f.cfg.Keys.Targets) })
-	wg.Wait()
+	all, err := f.cfg.Feed.List(ctx, "")
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.stats.Calls[store.OpList] += 2
-	if operatorErr != nil {
-		return operatorErr
-	}
-	if targetsErr != nil {
-		return targetsErr
+	f.stats.Calls[store.OpList]++
+	if err != nil {
+		return err
 	}
 	f.answered()
-	f.takeOperator(operator.Entries)
-	f.takeTargets(targets.Entries)
+	f.takeOperator(all.Entries)
+	f.takeTargets(all.Entries)
 	f.index, f.listed = 0, true
-	f.told(min(operator.Index, targets.Index))
+	f.told(all.Index)
 	f.publish()
 	return nil
 }
@@ -268,6 +261,9 @@
 func (f *Follower) takeOperator(entries []store.Entry) {
 	var zones []string
 	for _, e := range entries {
+		if !e.Key.HasPrefix(f.cfg.Keys.Operator) {
+			continue
+		}
 		change := f.decodeOperator(e, false)
 		if change.Config != nil {
 			f.setConfig(*change.Config)
@@ -282,6 +278,9 @@
 func (f *Follower) takeTargets(entries []store.Entry) {
 	list := make([]fleet.Target, 0, len(entries))
 	for _, e := range entries {
+		if !e.Key.HasPrefix(f.cfg.Keys.Targets) {
+			continue
+		}
 		if t, ok := f.decodeTarget(e); ok {
 			list = append(list, t)
 		}
