--- a/coordination/steering/health.go
+++ b/coordination/steering/health.go
@@ -13,6 +13,9 @@
 	// deadAfter is how long a target has to be silent before flows that their
 	// callers may repeat are given up.
 	deadAfter = 300 * time.Millisecond
+	// surelyDeadAfter is how long it has to be silent before such a flow is
+	// given up with its next request, without waiting for an answer.
+	surelyDeadAfter = time.Second
 	// firstHold and maxHold bound how long a silent target gets no new flow
 	// before one is tried; each failed try doubles it.
 	firstHold = 500 * time.Millisecond
@@ -87,7 +90,10 @@
 // dead reports whether a flow that has waited for a time is to be given up: the
 // target has answered nobody for long, though several asked.
 func (h *health) dead(now, waited time.Duration) bool {
-	return h.silent && h.blames >= blamesNeeded && now-h.since >= deadAfter && waited >= silenceBound
+	if !h.silent || h.blames < blamesNeeded || now-h.since < deadAfter {
+		return false
+	}
+	return waited >= silenceBound || now-h.since >= surelyDeadAfter
 }
 
 // usable reports whether new flows may be placed at the target: it answers, or
--- a/coordination/steering/place.go
+++ b/coordination/steering/place.go
@@ -49,7 +49,7 @@
 // cheapest returns the target with the lowest cost, or why there is none.
 func (s *Steering) cheapest(now time.Duration, pl *pool, p *Segment, former *target) (*target, Cause) {
 	hash := p.Flow.Hash()
-	bound := queueBound(p.Copy)
+	bound := s.bound(p.Copy)
 	var best *target
 	var bestCost float64
 	without := CauseNoTarget
--- a/coordination/steering/queue.go
+++ b/coordination/steering/queue.go
@@ -11,15 +11,15 @@
 
 const (
 	// freshQueue bounds the requests at a target, in multiples of its slots,
-	// beyond which a fresh opening is held: those in work and as many again, so
-	// that it waits about as long as it takes to serve.
+	// beyond which a fresh opening is held: it waits twice as long as it takes
+	// to serve, which leaves it in time.
 	freshQueue = 3.0
 	// repeatedQueue is the same bound for an opening that was held or lost
-	// before; it is late already and goes behind fresh ones.
-	repeatedQueue = 2.0
-	// fullQueue bounds the last copy of an opening, which the caller does not
-	// repeat: targets queue four requests a slot and reject more.
-	fullQueue = 4.5
+	// before: it is late already and takes only a slot that is free.
+	repeatedQueue = 1.0
+	// lastQueue is the bound for the last copy of an opening, which the caller
+	// does not repeat.
+	lastQueue = 3.0
 	// lastCopy is the number of the caller's last copy of an opening.
 	lastCopy = 2
 )
@@ -33,7 +33,7 @@
 	case copies < lastCopy:
 		return repeatedQueue
 	}
-	return fullQueue
+	return lastQueue
 }
 
 // queueFull returns why an opening gets no target when all have their bound: it
--- /dev/null
+++ b/coordination/steering/replay_test.go
@@ -0,0 +1,317 @@
+package steering
+
+import (
+	"container/heap"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/jujubehaven/jujubehaven/coordination/fleet"
+	"github.com/jujubehaven/jujubehaven/protocol/packet"
+)
+
+// replay is virtual time with callers and targets around one host's decisions.
+type replay struct {
+	*world
+	rng    *rand.Rand
+	queue  eventQueue
+	served map[fleet.TargetKey]*server
+	flows  int
+	result replayResult
+}
+
+// replayResult is what became of the requests.
+type replayResult struct {
+	inAim, late, failed, rejected int
+}
+
+type event struct {
+	at time.Duration
+	do func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int           { return len(q) }
+func (q eventQueue) Less(i, j int) bool { return q[i].at < q[j].at }
+func (q eventQueue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)        { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return last
+}
+
+// server serves slots requests at once in the order of arrival, queues some
+// and rejects the rest.
+type server struct {
+	busy    int
+	waiting []func()
+}
+
+const (
+	replaySlots   = 3
+	replayQueue   = 12
+	replayWork    = 43 * time.Millisecond
+	replayAim     = 200 * time.Millisecond
+	attemptEnds   = 1400 * time.Millisecond
+	callerRetries = 2
+)
+
+func newReplay(t *testing.T, seed uint64) *replay {
+	return &replay{
+		world: newWorld(t), rng: rand.New(rand.NewPCG(seed, 1)), served: map[fleet.TargetKey]*server{},
+	}
+}
+
+func (r *replay) at(at time.Duration, do func()) { heap.Push(&r.queue, event{at, do}) }
+
+func (r *replay) run() replayResult {
+	ticked := time.Duration(0)
+	for len(r.queue) > 0 {
+		e := heap.Pop(&r.queue).(event)
+		r.now = e.at
+		if r.now >= ticked+50*time.Millisecond {
+			ticked = r.now
+			r.Tick(r.now)
+		}
+		e.do()
+	}
+	return r.result
+}
+
+// request sends a request that was due at a time; retries is how often its
+// caller may still try.
+func (r *replay) request(due time.Duration, retries int) {
+	r.flows++
+	c := r.caller(r.flows, orders)
+	c.p.Flow.CallerPort = uint16(1 + r.flows>>16)
+	started := r.now
+	r.attempt(c, due, started, 0, retries)
+}
+
+func (r *replay) attempt(c *caller, due, started time.Duration, copies uint32, retries int) {
+	switch a := c.open(copies); a.Kind {
+	case Forward:
+		c.confirm()
+		c.ask()
+		r.serve(c, a.Key, due, retries)
+	case Reset:
+		r.again(due, retries)
+	case Drop:
+		next := started + 200*time.Millisecond
+		if copies > 0 {
+			next = started + 600*time.Millisecond
+		}
+		if copies == lastCopy {
+			r.at(started+attemptEnds, func() { r.again(due, retries) })
+			return
+		}
+		r.at(next, func() { r.attempt(c, due, started, copies+1, retries) })
+	}
+}
+
+func (r *replay) again(due time.Duration, retries int) {
+	if retries == 0 {
+		r.result.failed++
+		return
+	}
+	r.request(due, retries-1)
+}
+
+func (r *replay) serve(c *caller, key fleet.TargetKey, due time.Duration, retries int) {
+	s := r.served[key]
+	if s == nil {
+		s = &server{}
+		r.served[key] = s
+	}
+	work := func() {
+		took := time.Duration((0.5 + r.rng.Float64()) * float64(replayWork))
+		r.at(r.now+took, func() { r.finish(c, s, due) })
+	}
+	switch {
+	case s.busy < replaySlots:
+		s.busy++
+		work()
+	case len(s.waiting) < replayQueue:
+		s.waiting = append(s.waiting, work)
+	default:
+		r.result.rejected++
+		c.answered()
+		r.again(due, retries)
+	}
+}
+
+func (r *replay) finish(c *caller, s *server, due time.Duration) {
+	if len(s.waiting) > 0 {
+		next := s.waiting[0]
+		s.waiting = s.waiting[1:]
+		next()
+	} else {
+		s.busy--
+	}
+	if r.now-due <= replayAim {
+		r.result.inAim++
+	} else {
+		r.result.late++
+	}
+	c.answered()
+	c.p.Class = packet.Closing
+	c.send()
+}
+
+// herd plays the second after all hosts were gone for two: callers' held back
+// openings come as copies and retries while fresh ones go on, at 70% of what
+// the targets can do. It returns what became of the fresh ones, and of all.
+func herd(t *testing.T, seed uint64, bound func(uint32) float64) replayResult {
+	r := newReplay(t, seed)
+	if bound != nil {
+		r.Steering.bound = bound
+	}
+	const back = 2 * time.Second
+	capacity := 6 * replaySlots * float64(time.Second) / float64(replayWork)
+	gap := time.Duration(float64(time.Second) / (0.7 * capacity))
+	for due := time.Second; due < back; due += gap {
+		// The caller comes back when its next copy or its next try is due.
+		at := back + time.Duration(r.rng.Int64N(int64(600*time.Millisecond)))
+		r.at(at, func() { r.request(due, callerRetries) })
+	}
+	for due := back; due < back+1500*time.Millisecond; due += gap {
+		r.at(due, func() { r.request(due, callerRetries) })
+	}
+	return r.run()
+}
+
+func unbounded(uint32) float64 { return math.Inf(1) }
+
+// The queue bounds serve more requests in time than to send all at once does,
+// fail none and let no target reject any.
+func TestHerdAfterAllHostsWereGone(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(5) {
+		bounded, plain := herd(t, seed, nil), herd(t, seed, unbounded)
+		t.Logf("seed %d: bounded %v, plain %v", seed, bounded, plain)
+		is.True(bounded.inAim > plain.inAim)
+		is.True(plain.failed > 0 && plain.rejected > 0)
+		is.Equal(bounded.failed, 0)
+		is.Equal(bounded.rejected, 0)
+	}
+}
+
+// At 60% load nothing is held, refused or late.
+func TestOrdinaryLoadIsNotHeld(t *testing.T) {
+	is := is.New(t)
+	r := newReplay(t, 7)
+	capacity := 3 * replaySlots * float64(time.Second) / float64(replayWork)
+	gap := float64(time.Second) / (0.6 * capacity)
+	for due := time.Second; due < 11*time.Second; due += time.Duration(gap * r.rng.ExpFloat64()) {
+		r.at(due, func() { r.request(due, callerRetries) })
+	}
+	got := r.run()
+	t.Logf("%+v", got)
+	is.Equal(got.failed, 0)
+	is.Equal(got.rejected, 0)
+	is.True(float64(got.late) < 0.001*float64(got.inAim))
+	is.Equal(r.counts.Dropped[CauseBusy], uint64(0))
+}
+
+// Several hosts that know nothing of each other's openings keep the rate of a
+// cold target together.
+func TestColdTargetGetsItsRateFromAllHosts(t *testing.T) {
+	is := is.New(t)
+	const hosts, rate = 4, 10.0
+	var sent []time.Duration
+	for h := range hosts {
+		w := newWorld(t)
+		w.view.Config.Services = map[string]fleet.ServiceLimits{"book": {ColdOpenings: rate}, "maps": {}}
+		w.view.Config.Version = 2
+		for _, key := range []fleet.TargetKey{"a1", "a2", "b0", "b1", "b2"} {
+			w.entry(key).Draining = true
+		}
+		w.entry("a0").SlowUntil = time.Hour
+		w.apply()
+		w.SetPeerLoads(&PeerLoads{Hosts: hosts, Settled: true})
+		for n := range 500 {
+			w.now += 10 * time.Millisecond
+			c := w.caller(h*1000+n, orders)
+			switch a := c.open(0); a.Kind {
+			case Forward:
+				sent = append(sent, w.now)
+				c.p.Class = packet.Closing
+				c.send()
+			case Reset:
+				is.Equal(a.Cause, CauseColdLimit)
+			case Drop:
+				t.Fatal(a.Cause)
+			}
+		}
+	}
+	for _, from := range sent {
+		n := 0
+		for _, at := range sent {
+			if at >= from && at < from+time.Second {
+				n++
+			}
+		}
+		is.True(n <= rate+hosts)
+	}
+	is.True(float64(len(sent)) > 0.8*rate*5)
+}
+
+// Hosts of other zones leave a cold target alone, and so does one that does
+// not know yet how many share it.
+func TestColdTargetIsItsZonesOwn(t *testing.T) {
+	is := is.New(t)
+	limits := fleet.ServiceLimits{ColdOpenings: 8}
+	is.Equal(coldShare(limits, nil), 1.0)
+	is.Equal(coldShare(limits, &PeerLoads{Hosts: 1}), 1.0)
+	is.Equal(coldShare(limits, &PeerLoads{Hosts: 2, Settled: true}), 4.0)
+	is.Equal(coldShare(limits, &PeerLoads{Hosts: 16}), 0.5)
+	w := newWorld(t)
+	for i := range w.view.Targets {
+		w.view.Targets[i].SlowUntil = time.Hour
+	}
+	w.apply()
+	is.True(!w.bearsCold(w.now, w.targets["b0"], limits))
+	is.True(w.bearsCold(w.now, w.targets["a0"], limits))
+}
+
+func TestQueueBounds(t *testing.T) {
+	is := is.New(t)
+	is.True(queueBound(0) > queueBound(1))        // fresh ones before repeated ones
+	is.True(queueBound(lastCopy) > queueBound(1)) // it will not come again
+	is.Equal(queueFull(0), CauseBusy)
+	is.Equal(queueFull(1), CauseBusy)
+	is.Equal(queueFull(lastCopy), CauseNoCapacity)
+}
+
+// The load that other hosts tell moves flows to another target.
+func TestPeerLoadsCount(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	w.SetPeerLoads(&PeerLoads{Hosts: 2, Targets: map[Token]TargetLoad{
+		TokenOf("a0"): {Busy: 2}, TokenOf("a1"): {Silent: true},
+	}})
+	for n := range 2 {
+		is.Equal(w.caller(n, orders).open(0).Key, fleet.TargetKey("a2"))
+	}
+}
+
+// A zone's own targets are used while one has a free slot; beyond, the others
+// help before anything waits.
+func TestLoadSpillsToOtherZones(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	away := map[bool]int{}
+	for n := range 9 + 6 {
+		c, key := w.established(n, orders)
+		c.ask()
+		away[w.entry(key).Zone != "a"]++
+	}
+	is.True(away[false] >= 9)
+	is.True(away[true] >= 3)
+}
--- a/coordination/steering/steering.go
+++ b/coordination/steering/steering.go
@@ -53,6 +53,8 @@
 	routes  map[packet.Endpoint]*route
 	flows   map[packet.Flow]*flow
 	swept   time.Duration
+	// bound is queueBound, or another rule to compare it with.
+	bound func(copies uint32) float64
 	// unknown holds when a token that no target has was seen first.
 	unknown map[Token]time.Duration
 	counts  Counts
@@ -76,6 +78,7 @@
 func New(cfg Config) *Steering {
 	return &Steering{
 		cfg:     cfg,
+		bound:   queueBound,
 		targets: map[fleet.TargetKey]*target{},
 		tokens:  map[Token]*target{},
 		flows:   map[packet.Flow]*flow{},
@@ -304,6 +307,8 @@
 	}
 	if p.Class == packet.Closing || p.Class == packet.Reset {
 		s.setBusy(f, false)
+		s.setOpening(f, false)
+		s.setCounted(f, false)
 		f.closed = true
 	}
 }
@@ -314,7 +319,8 @@
 	end := p.Seq + uint32(len(p.Payload))
 	if !seqAfter(end, f.nextSeq) {
 		s.counts.Repeats++
-		if !f.blamed && f.busy {
+		s.setBusy(f, true)
+		if !f.blamed {
 			f.blamed = true
 			if t.health.dataRepeated(now, f.asked) {
 				s.silenced(now, t)
