--- a/cmd/jujubehaven/run.go
+++ b/cmd/jujubehaven/run.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/urfave/cli/v3"
@@ -73,11 +74,12 @@
 func runToken(c *cli.Command, s settings.Settings, source settings.Source) error {
 	queue := logging.NewQueue(c.Root().Writer)
 	defer func() { _ = queue.Close() }() // what still waits is written; nothing can be said of a failure
-	log := logging.New(queue, s.LogLevel)
+	log := logging.New(queue, zerolog.DebugLevel)
 	around, err := platform.New(s.Platform, s.Data[0])
 	if err != nil {
 		return cli.Exit(err.Error(), exitSettings)
 	}
+	around.LinesDropped = queue.Dropped
 	h, err := tokenhost.New(s, log, around)
 	if err != nil {
 		return cli.Exit(err.Error(), exitFailure)
@@ -92,7 +94,7 @@
 }
 
 // serve runs the daemon until SIGTERM or SIGINT, whose second one aborts the
-// hand-over. SIGHUP reloads the settings and keys.
+// hand-over. SIGHUP, or a change of the file, reloads the settings and keys.
 func serve(d host, source settings.Source, log zerolog.Logger) error {
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
@@ -101,12 +103,19 @@
 	defer startLeave()
 	abort, startAbort := context.WithCancel(context.Background())
 	defer startAbort()
+	file := newFileWatch(source.File)
+	checks := time.NewTicker(fileCheckInterval)
+	defer checks.Stop()
 	result := make(chan error, 1)
 	go func() { result <- d.Run(leave, abort) }()
 	for {
 		select {
 		case err := <-result:
 			return exitOf(err, abort.Err() != nil)
+		case <-checks.C:
+			if file.Changed() {
+				reload(d, source, log)
+			}
 		case sig := <-signals:
 			switch {
 			case sig == syscall.SIGHUP:
--- a/coordination/steering/api.go
+++ b/coordination/steering/api.go
@@ -6,6 +6,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"github.com/jujubehaven/jujubehaven/coordination/fleet"
 	"github.com/jujubehaven/jujubehaven/protocol/packet"
@@ -59,10 +60,14 @@
 	Load float64
 	// RequestStarts is set when the packet carries the first data of a request.
 	RequestStarts bool
+	// HandshakeTook is the time from the opening's last copy to the caller's
+	// answer to the target's, and AnswerTook that from a request's first data to
+	// the first acknowledgement of its answer; 0 if the packet shows neither.
+	HandshakeTook, AnswerTook time.Duration
 	// Run says for Reset whether a request on the flow may have run.
 	Run verdict.Run
-	// ViewAge is the age of the target's last word, in nanoseconds.
-	ViewAge int64
+	// ViewAge is the age of the target's last word that changed anything.
+	ViewAge time.Duration
 }
 
 // Cause says why a packet was placed, dropped or answered by a reset.
--- a/coordination/steering/loads.go
+++ b/coordination/steering/loads.go
@@ -1,10 +1,6 @@
 package steering
 
-import (
-	"time"
-
-	"github.com/jujubehaven/jujubehaven/coordination/fleet"
-)
+import "github.com/jujubehaven/jujubehaven/coordination/fleet"
 
 // TargetLoad is the work of one target for the callers of some hosts.
 type TargetLoad struct {
@@ -42,12 +38,10 @@
 	TargetLoad
 	// Takes is set if the target may be given new flows.
 	Takes bool
-	// SaidAge is how old the target's last word in the store is.
-	SaidAge time.Duration
 }
 
 // TargetStats lists all targets that are not gone.
-func (s *Steering) TargetStats(now time.Duration) []TargetStats {
+func (s *Steering) TargetStats() []TargetStats {
 	list := make([]TargetStats, 0, len(s.targets))
 	for key, t := range s.targets {
 		if t.entry.Gone {
@@ -56,7 +50,7 @@
 		list = append(list, TargetStats{
 			Key: key, Token: t.token, Service: t.entry.Service, Zone: t.entry.Zone,
 			TargetLoad: TargetLoad{Open: t.open, Busy: t.busy + t.opening, Silent: t.health.silent},
-			Takes:      t.takes(), SaidAge: now - t.entry.Said,
+			Takes:      t.takes(),
 		})
 	}
 	return list
--- a/coordination/steering/steering.go
+++ b/coordination/steering/steering.go
@@ -293,10 +293,14 @@
 	if !f.open {
 		f.open = true
 		f.ack = p.Ack
+		a.HandshakeTook = now - f.placed
 		s.progressed(now, t)
 	}
 	if seqAfter(p.Ack, f.ack) {
 		f.ack = p.Ack
+		if f.busy {
+			a.AnswerTook = now - f.asked
+		}
 		f.blamed = false
 		f.baseSeq = f.nextSeq
 		s.setBusy(f, false)
@@ -363,5 +367,5 @@
 	a.Target = t.entry.Number
 	a.Token = t.token
 	a.Key = t.entry.Key
-	a.ViewAge = int64(now - t.entry.Said)
+	a.ViewAge = now - t.entry.Said
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/jujubehaven/jujubehaven/coordination/balancer"
+	"github.com/jujubehaven/jujubehaven/internal/logging"
 	"github.com/jujubehaven/jujubehaven/internal/settings"
 	"github.com/jujubehaven/jujubehaven/protocol/document"
 	"github.com/jujubehaven/jujubehaven/protocol/peer"
@@ -38,7 +39,7 @@
 // Daemon is one host. Its sockets are open from New until Run returns.
 type Daemon struct {
 	log      zerolog.Logger
-	level    levelHook
+	level    logging.LevelHook
 	host     peer.Host
 	clock    func() time.Duration
 	balancer *balancer.Balancer
@@ -76,7 +77,7 @@
 		reports:  reports{failed: map[uint64]bool{}},
 		registry: prometheus.NewRegistry(),
 	}
-	d.level.set(s.LogLevel)
+	d.level.Set(s.LogLevel)
 	d.log = log.Hook(&d.level).With().Str("host", s.Host).Logger()
 	d.balancer = balancer.New(balancer.Config{
 		Host: d.host, Seed: rand.Uint64(), FlowBudget: int(float64(s.Limits.ControlBudget) * flowBudgetShare),
--- a/internal/daemon/events_test.go
+++ b/internal/daemon/events_test.go
@@ -41,16 +41,16 @@
 // loggedEvents finds the names in the code of the daemon and its transports.
 func loggedEvents(t *testing.T) []string {
 	t.Helper()
-	literal := regexp.MustCompile(`Str\("event", "([a-z_]+)"\)`)
+	literal := regexp.MustCompile(`(?:Str\("event", "([a-z_]+)"\)|j\.line\("([a-z_]+)",)`)
 	var names []string
-	for _, dir := range []string{"cmd", "internal/daemon", "transport", "coordination"} {
+	for _, dir := range []string{"cmd", "internal/daemon", "internal/tokenhost", "transport", "coordination"} {
 		err := filepath.WalkDir(filepath.Join(root, dir), func(path string, _ fs.DirEntry, err error) error {
 			if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
 				return err
 			}
 			text, err := os.ReadFile(path)
 			for _, m := range literal.FindAllSubmatch(text, -1) {
-				names = append(names, string(m[1]))
+				names = append(names, string(m[1])+string(m[2]))
 			}
 			return err
 		})
--- a/internal/daemon/reload_test.go
+++ b/internal/daemon/reload_test.go
@@ -17,7 +17,7 @@
 	s.LogLevel = zerolog.ErrorLevel
 	s.Limits.ControlBudget = 2 * settings.DefaultControlBudgetBytes
 	is.NoErr(d.Reload(s))
-	is.Equal(zerolog.Level(d.level.level.Load()), zerolog.ErrorLevel)
+	is.Equal(d.level.Level(), zerolog.ErrorLevel)
 	is.Equal(d.settings.Limits.ControlBudget, s.Limits.ControlBudget)
 }
 
@@ -33,5 +33,5 @@
 	is.True(err != nil)
 	is.True(strings.Contains(err.Error(), "zone, workers")) // says which keys need a restart
 	is.Equal(d.settings.Zone, before.Zone)
-	is.Equal(zerolog.Level(d.level.level.Load()), before.LogLevel) // nothing of it is in force
+	is.Equal(d.level.Level(), before.LogLevel) // nothing of it is in force
 }
--- /dev/null
+++ b/internal/logging/bounded_test.go
@@ -0,0 +1,63 @@
+package logging
+
+import (
+	"bytes"
+	"io"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+)
+
+// A reader that never reads must not hold up the one who logs, nor the end of
+// the process; what is lost is counted.
+func TestFullPipeDoesNotBlock(t *testing.T) {
+	is := is.New(t)
+	r, w, err := os.Pipe()
+	is.NoErr(err)
+	defer func() { _ = r.Close() }()
+	q := NewQueue(w)
+	log := New(q, zerolog.InfoLevel)
+	done := make(chan error)
+	go func() {
+		line := strings.Repeat("x", 200)
+		for range 20 * queueLines {
+			log.Info().Str("event", "host_started").Str("text", line).Send()
+		}
+		done <- q.Close()
+	}()
+	select {
+	case err := <-done:
+		is.True(err != nil) // says that lines are lost
+	case <-time.After(time.Minute):
+		t.Fatal("logging waits for its reader")
+	}
+	is.True(q.Dropped() > 0)
+}
+
+type lockedBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func TestCloseWritesWhatWaits(t *testing.T) {
+	is := is.New(t)
+	var out lockedBuffer
+	q := NewQueue(&out)
+	for range 100 {
+		_, err := io.WriteString(q, "line\n")
+		is.NoErr(err)
+	}
+	is.NoErr(q.Close())
+	is.Equal(strings.Count(out.buf.String(), "line\n"), 100)
+}
--- /dev/null
+++ b/internal/logging/level.go
@@ -0,0 +1,23 @@
+package logging
+
+import (
+	"sync/atomic"
+
+	"github.com/rs/zerolog"
+)
+
+// LevelHook drops events below a level that may change while a process lives.
+type LevelHook struct{ level atomic.Int32 }
+
+// Set changes the level.
+func (h *LevelHook) Set(level zerolog.Level) { h.level.Store(int32(level)) }
+
+// Level returns the level.
+func (h *LevelHook) Level() zerolog.Level { return zerolog.Level(h.level.Load()) }
+
+// Run implements zerolog.Hook.
+func (h *LevelHook) Run(e *zerolog.Event, level zerolog.Level, _ string) {
+	if int32(level) < h.level.Load() {
+		e.Discard()
+	}
+}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -107,6 +107,51 @@
 	}
 }
 
+const goodToken = `steering: token
+host: edge-a-1
+zone: a
+data: [127.0.0.1:6080]
+admin: 127.0.0.1:6082
+metrics: 127.0.0.1:9464
+control: 127.0.0.1:7720
+peers:
+  seeds: [127.0.0.2:6081]
+platform: http://127.0.0.1:8500
+limits:
+  leave: 2s
+`
+
+func TestLoadSteeringByToken(t *testing.T) {
+	is := is.New(t)
+	s, err := Load(Source{File: write(t, goodToken)})
+	is.NoErr(err)
+	is.Equal(s.Steering, SteeringToken)
+	is.Equal(s.Metrics.Port(), uint16(9464))
+	s, err = Load(Source{File: write(t, good)})
+	is.NoErr(err)
+	is.Equal(s.Steering, SteeringOwner)
+}
+
+func TestLoadRefusesForToken(t *testing.T) {
+	replace := func(old, with string) string { return strings.Replace(goodToken, old, with, 1) }
+	cases := []struct{ name, text, want string }{
+		{"steering", replace("token", "guess"), `:1: steering: "guess" is neither owner nor token`},
+		{"no platform", replace("platform: http://127.0.0.1:8500\n", ""), "platform: is missing; steering by token"},
+		{"IPv6", replace("127.0.0.1:6080", `"[::1]:6080"`), ":4: data: want one IPv4 address"},
+		{"two addresses", replace("[127.0.0.1:6080]", "[127.0.0.1:6080, 127.0.0.1:6081]"), ":4: data: want one IPv4 address"},
+		{"one address twice", replace("9464", "6082"), ":6: metrics: "},
+		{"no admin", replace("admin: 127.0.0.1:6082\n", ""), "admin: is missing"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := Load(Source{File: write(t, c.text)})
+			if err == nil || !strings.Contains(err.Error(), c.want) {
+				t.Errorf("error %v, want %q", err, c.want)
+			}
+		})
+	}
+}
+
 func TestLoadReportsAllProblems(t *testing.T) {
 	_, err := Load(Source{LookupEnv: fixed(map[string]string{"JUJUBEHAVEN_WORKERS": "x"})})
 	if err == nil {
--- a/internal/tokenhost/host.go
+++ b/internal/tokenhost/host.go
@@ -6,17 +6,20 @@
 	"context"
 	"net"
 	"net/netip"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/rs/zerolog"
 
 	"github.com/jujubehaven/jujubehaven/coordination/fleet"
 	"github.com/jujubehaven/jujubehaven/coordination/steering"
 	"github.com/jujubehaven/jujubehaven/coordination/store"
+	"github.com/jujubehaven/jujubehaven/internal/logging"
 	"github.com/jujubehaven/jujubehaven/internal/settings"
 	"github.com/jujubehaven/jujubehaven/protocol/document"
 	wire "github.com/jujubehaven/jujubehaven/protocol/gossip"
@@ -35,13 +38,15 @@
 	Keys    fleet.Keys
 	Decoder fleet.Decoder
 	Codec   direct.Codec
+	// LinesDropped counts the lines of the log that were dropped; it may be nil.
+	LinesDropped func() int64
 }
 
 // Host is one host. Its sockets are open from New until Run returns.
 type Host struct {
 	log      zerolog.Logger
+	level    logging.LevelHook
 	start    time.Time
-	settings settings.Settings
 	packets  *direct.Server
 	follower *follow.Follower
 	exchange *gossip.Exchange
@@ -49,6 +54,11 @@
 	journal  *journal
 	registry *prometheus.Registry
 	leaving  atomic.Bool
+	dropped  func() int64
+
+	// mu guards settings, which Reload changes.
+	mu       sync.Mutex
+	settings settings.Settings
 
 	adminListener, metricsListener net.Listener
 }
@@ -56,9 +66,10 @@
 // New opens the sockets of a host. A Host that is not run must be closed.
 func New(s settings.Settings, log zerolog.Logger, around Surroundings) (*Host, error) {
 	h := &Host{
-		log: log.With().Str("host", s.Host).Logger(), start: time.Now(), settings: s,
-		registry: prometheus.NewRegistry(),
+		start: time.Now(), settings: s, registry: prometheus.NewRegistry(), dropped: around.LinesDropped,
 	}
+	h.level.Set(s.LogLevel)
+	h.log = log.Hook(&h.level).With().Str("host", s.Host).Logger()
 	h.journal = newJournal(h.log, h.clock)
 	var err error
 	h.packets, err = direct.New(direct.Config{
@@ -76,7 +87,8 @@
 		Feed: around.Feed, Keys: around.Keys, Decoder: around.Decoder,
 		Publish: h.packets.SetView, Clock: h.clock, Log: h.log, Peers: h.peers(),
 	})
-	h.registry.MustRegister(newCollector(h))
+	h.registry.MustRegister(newCollector(h), h.journal.handshakes, h.journal.answers,
+		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	h.admin = admin.New(admin.Config{Metrics: h.registry, Ready: h.ready, Documents: noDocuments})
 	if err := h.listen(); err != nil {
 		h.Close()
@@ -92,19 +104,24 @@
 	if !s.Control.IsValid() {
 		return nil
 	}
+	var err error
+	h.exchange, err = gossip.New(gossip.Config{
+		Listen: s.Control, Seeds: seedsOf(s), Local: local{h}, Clock: h.clock, Log: h.log,
+		Self: wire.Host{Name: s.Host, Zone: s.Zone, Addr: s.Control, Started: h.start.UnixNano()},
+	})
+	return err
+}
+
+// seedsOf lists the control addresses of the seeds: all hosts listen on one
+// port.
+func seedsOf(s settings.Settings) []netip.AddrPort {
 	seeds := make([]netip.AddrPort, 0, len(s.Peers.Seeds))
 	for _, seed := range s.Peers.Seeds {
-		// All hosts listen on one port.
 		if addr := netip.AddrPortFrom(seed.Addr(), s.Control.Port()); addr != s.Control {
 			seeds = append(seeds, addr)
 		}
 	}
-	var err error
-	h.exchange, err = gossip.New(gossip.Config{
-		Listen: s.Control, Seeds: seeds, Local: local{h}, Clock: h.clock, Log: h.log,
-		Self: wire.Host{Name: s.Host, Zone: s.Zone, Addr: s.Control, Started: h.start.UnixNano()},
-	})
-	return err
+	return seeds
 }
 
 // peers returns the exchange for the follower, nil if there is none.
@@ -173,8 +190,11 @@
 // no hand-over: any host finds their targets by token.
 func (h *Host) leave(abort context.Context) {
 	h.leaving.Store(true)
-	h.log.Info().Str("event", "leave_started").Dur("limit_ms", h.settings.Limits.Leave).Send()
-	timer := time.NewTimer(h.settings.Limits.Leave)
+	h.mu.Lock()
+	limit := h.settings.Limits.Leave
+	h.mu.Unlock()
+	h.log.Info().Str("event", "leave_started").Dur("limit_ms", limit).Send()
+	timer := time.NewTimer(limit)
 	defer timer.Stop()
 	select {
 	case <-abort.Done():
@@ -198,12 +218,21 @@
 	return nil
 }
 
-// Reload takes over changed settings that need no restart; there are none yet
-// beyond the log's level.
+// Reload puts new settings in force: the log's level, the seeds and the time
+// to leave. If it returns an error, the former settings stay in force.
 func (h *Host) Reload(s settings.Settings) error {
-	if keys := settings.NeedRestart(h.settings, s); len(keys) > 0 {
-		return errors.Newf("changed settings that need a restart: %v", keys)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	fixed := h.settings
+	fixed.Peers.Seeds = s.Peers.Seeds
+	if keys := settings.NeedRestart(fixed, s); len(keys) > 0 {
+		return errors.Newf("changed settings that need a restart: %s", strings.Join(keys, ", "))
+	}
+	h.level.Set(s.LogLevel)
+	if h.exchange != nil {
+		h.exchange.SetSeeds(seedsOf(s))
 	}
+	h.settings = s
 	return nil
 }
 
--- /dev/null
+++ b/internal/tokenhost/host_test.go
@@ -0,0 +1,330 @@
+package tokenhost
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"regexp"
+	"sort"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/go-cmp/cmp"
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"github.com/jujubehaven/jujubehaven/coordination/fleet"
+	"github.com/jujubehaven/jujubehaven/coordination/steering"
+	"github.com/jujubehaven/jujubehaven/coordination/store"
+	"github.com/jujubehaven/jujubehaven/internal/settings"
+	"github.com/jujubehaven/jujubehaven/protocol/packet"
+)
+
+// still is a store that holds what it held at the start.
+type still struct{ entries []store.Entry }
+
+func (s still) List(context.Context, store.Key) (store.Snapshot, error) {
+	return store.Snapshot{Entries: s.entries, Index: 1}, nil
+}
+
+func (s still) Changes(ctx context.Context, _ store.Key, after store.Index, wait time.Duration) (store.Changes, error) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(wait):
+	}
+	return store.Changes{Index: after}, nil
+}
+
+// plain reads entries whose value is a target's address.
+type plain struct{}
+
+func (plain) Target(key store.Key, value []byte) (fleet.Target, error) {
+	addr, err := netip.ParseAddrPort(string(value))
+	return fleet.Target{Key: fleet.TargetKey(key), Number: 7, Service: "book", Zone: "a", Addr: addr, Slots: 3, Beats: 1}, err
+}
+
+var service = packet.NewEndpoint(netip.MustParseAddrPort("198.18.0.1:80"), packet.ProtoTCP)
+
+func (plain) Operator(store.Key, []byte, bool) (fleet.OperatorChange, error) {
+	return fleet.OperatorChange{Config: &fleet.Config{
+		Version:  3,
+		Services: map[string]fleet.ServiceLimits{"book": {}},
+		Routes:   []fleet.Route{{Endpoint: service, Shares: []fleet.Share{{Service: "book", Weight: 1}}}},
+	}}, nil
+}
+
+// lineCodec reads a caller's packet from one byte, its class, and payload.
+type lineCodec struct{ reset netip.AddrPort }
+
+func (lineCodec) Headroom() int { return 0 }
+
+func (lineCodec) Decode(b []byte, p *steering.Segment) bool {
+	if len(b) == 0 || b[0] == 'x' {
+		return false
+	}
+	p.Class = packet.Class(b[0])
+	p.Token = steering.TokenOf("t/1")
+	p.Flow = packet.Flow{Caller: netip.MustParseAddr("100.64.0.7").As16(), CallerPort: 1, Service: service}
+	if b[0] == 'u' {
+		p.Class = packet.Opening
+		p.Flow.Service.Port = 81
+	}
+	p.Seq, p.Ack, p.Copy, p.Payload = 1, 1, 0, b[1:]
+	return true
+}
+
+func (lineCodec) Forward(buf []byte, a *steering.Action) []byte {
+	return fmt.Appendf(nil, "%d %s", a.Target, buf[1:])
+}
+
+func (c lineCodec) Reset([]byte, *steering.Segment) ([]byte, netip.AddrPort) {
+	return []byte("reset"), c.reset
+}
+
+type lockedBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func (b *lockedBuffer) text() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
+
+// site is a running host with a socket that is its target and its caller.
+type site struct {
+	t      *testing.T
+	host   *Host
+	socket *net.UDPConn
+	log    *lockedBuffer
+	leave  context.CancelFunc
+	done   chan error
+}
+
+func freePort(t *testing.T) netip.AddrPort {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	defer func() { _ = l.Close() }()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+func newSite(t *testing.T) *site {
+	t.Helper()
+	is := is.New(t)
+	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
+	is.NoErr(err)
+	t.Cleanup(func() { _ = socket.Close() })
+	own := netip.MustParseAddrPort(socket.LocalAddr().String())
+	values := map[string]string{
+		"steering": "token", "host": "h1", "zone": "a", "platform": "http://127.0.0.1:1", "limits-leave": "100ms",
+		"data": freePort(t).String(), "admin": freePort(t).String(), "metrics": freePort(t).String(), "control": freePort(t).String(),
+	}
+	s, err := settings.Load(settings.Source{LookupFlag: func(name string) (string, bool) {
+		v, ok := values[name]
+		return v, ok
+	}})
+	is.NoErr(err)
+	log := &lockedBuffer{}
+	h, err := New(s, zerolog.New(log), Surroundings{
+		Feed:    still{[]store.Entry{{Key: "t/1", Value: []byte(own.String())}, {Key: "o/c"}}},
+		Keys:    fleet.Keys{Targets: "t/", Operator: "o/"},
+		Decoder: plain{}, Codec: lineCodec{reset: own},
+	})
+	is.NoErr(err)
+	x := &site{t: t, host: h, socket: socket, log: log, done: make(chan error, 1)}
+	leave, cancel := context.WithCancel(context.Background())
+	x.leave = cancel
+	go func() { x.done <- h.Run(leave, context.Background()) }()
+	t.Cleanup(func() { x.stop() })
+	x.eventually("ready", func() bool { return x.status(x.host.settings.Admin, "/readyz") == http.StatusOK })
+	// The packet path takes the view over within a tick.
+	x.eventually("a view", func() bool { return len(h.packets.Stats().Targets) == 1 })
+	return x
+}
+
+func (x *site) stop() error {
+	x.leave()
+	err := <-x.done
+	x.done <- err
+	return err
+}
+
+func (x *site) eventually(what string, ok func() bool) {
+	x.t.Helper()
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	x.t.Fatalf("not within 20 s: %s; log:\n%s", what, x.log.text())
+}
+
+func (x *site) get(addr netip.AddrPort, path string) (int, string, error) {
+	resp, err := http.Get("http://" + addr.String() + path)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(body), err
+}
+
+func (x *site) status(addr netip.AddrPort, path string) int {
+	status, _, err := x.get(addr, path)
+	if err != nil {
+		return 0
+	}
+	return status
+}
+
+// exchange sends a packet and returns what the host sends for it.
+func (x *site) exchange(text string) string {
+	x.t.Helper()
+	is := is.New(x.t)
+	_, err := x.socket.WriteToUDPAddrPort([]byte(text), x.host.settings.Data[0])
+	is.NoErr(err)
+	is.NoErr(x.socket.SetReadDeadline(time.Now().Add(20 * time.Second)))
+	buf := make([]byte, 2000)
+	n, err := x.socket.Read(buf)
+	is.NoErr(err)
+	return string(buf[:n])
+}
+
+func packetOf(class packet.Class, payload string) string { return string(rune(class)) + payload }
+
+func TestHostForwardsLogsAndCounts(t *testing.T) {
+	is := is.New(t)
+	x := newSite(t)
+	is.Equal(x.exchange(packetOf(packet.Opening, "")), "7 ")
+	request := "GET / HTTP/1.1\r\nHost: a\r\nRequest-Id: 4f1d\r\n\r\n"
+	is.Equal(x.exchange(packetOf(packet.Data, request)), "7 "+request)
+	is.Equal(x.exchange("u"), "reset")
+	x.eventually("lines", func() bool { return strings.Count(x.log.text(), `"event":"flow_reset"`) == 1 })
+	for _, want := range []string{
+		`"event":"config_in_force","version":3`,
+		`"event":"flow_placed","cause":"placed","caller":"100.64.0.7:1","address":"198.18.0.1:80","target":"t/1"`,
+		`"event":"request_sent","cause":"known","caller":"100.64.0.7:1","address":"198.18.0.1:80","request":"4f1d","target":"t/1"`,
+		`"event":"flow_reset","cause":"no-route"`,
+	} {
+		is.True(strings.Contains(x.log.text(), want)) // the line of a decision
+	}
+	x.eventually("metrics", func() bool {
+		_, body, err := x.get(x.host.settings.Metrics, "/metrics")
+		return err == nil && strings.Contains(body, `jujubehaven_token_decisions_total{action="forward",cause="placed"} 1`) &&
+			strings.Contains(body, "jujubehaven_token_handshake_seconds_count 1") &&
+			strings.Contains(body, "jujubehaven_token_config_version 3")
+	})
+}
+
+// A host that leaves is not ready and goes on forwarding until it ends.
+func TestPlannedStop(t *testing.T) {
+	is := is.New(t)
+	x := newSite(t)
+	h := x.host
+	h.mu.Lock()
+	h.settings.Limits.Leave = 2 * time.Second
+	h.mu.Unlock()
+	x.leave()
+	x.eventually("not ready", func() bool { return x.status(h.settings.Admin, "/readyz") == http.StatusServiceUnavailable })
+	is.Equal(x.exchange(packetOf(packet.Opening, "")), "7 ")
+	is.NoErr(x.stop())
+	is.True(strings.Contains(x.log.text(), `"event":"leave_done"`))
+}
+
+func TestReload(t *testing.T) {
+	is := is.New(t)
+	x := newSite(t)
+	s := x.host.settings
+	s.LogLevel = zerolog.ErrorLevel
+	s.Peers.Seeds = []netip.AddrPort{netip.MustParseAddrPort("127.0.0.9:1")}
+	is.NoErr(x.host.Reload(s))
+	is.Equal(x.host.level.Level(), zerolog.ErrorLevel)
+	s.Zone = "b"
+	err := x.host.Reload(s)
+	is.True(err != nil && strings.Contains(err.Error(), "zone"))
+}
+
+// The log stays within its bound however many packets come, and says what was
+// left out.
+func TestLinesAreBounded(t *testing.T) {
+	is := is.New(t)
+	var out lockedBuffer
+	j := newJournal(zerolog.New(&out), func() time.Duration { return 0 })
+	p := steering.Segment{Flow: packet.Flow{Service: service}}
+	for range 100_000 {
+		j.Decided(0, &p, &steering.Action{Kind: steering.Forward, Placed: true})
+	}
+	lines := strings.Count(out.text(), "\n")
+	is.True(lines >= decisionBurst && lines < decisionBurst+decisionsPerSecond*10)
+	is.Equal(j.leftOut.Load(), uint64(100_000-lines))
+}
+
+func TestRequestID(t *testing.T) {
+	cases := map[string]string{
+		"GET / HTTP/1.1\r\nRequest-Id: a1\r\n\r\n": "a1",
+		"GET / HTTP/1.1\r\nRequest-Id:a1\r\n\r\n":  "a1",
+		"GET / HTTP/1.1\r\nHost: x\r\n\r\n":        "",
+		"GET / HTTP/1.1\r\nRequest-Id: cut off":    "",
+		"":                                         "",
+		"GET / HTTP/1.1\r\nRequest-Id: " + strings.Repeat("a", 100) + "\r\n": strings.Repeat("a", maxRequestID-1),
+	}
+	for data, want := range cases {
+		is.New(t).Equal(requestID([]byte(data)), want)
+	}
+}
+
+func TestHostNamesTheSettingThatFails(t *testing.T) {
+	is := is.New(t)
+	x := newSite(t)
+	_, err := New(x.host.settings, zerolog.Nop(), Surroundings{Feed: still{}, Decoder: plain{}, Codec: lineCodec{}})
+	is.True(err != nil && strings.Contains(err.Error(), "data")) // the socket is taken
+	is.True(!errors.Is(err, io.EOF))
+}
+
+// The operators' page lists each metric with its labels, and no other.
+func TestMetricsPageAgrees(t *testing.T) {
+	is := is.New(t)
+	x := newSite(t)
+	descs := make(chan *prometheus.Desc, 1000)
+	x.host.registry.Describe(descs)
+	close(descs)
+	form := regexp.MustCompile(`fqName: "([^"]*)".*variableLabels: \{([^}]*)\}`)
+	var exported, listed []string
+	for d := range descs {
+		if m := form.FindStringSubmatch(d.String()); strings.HasPrefix(m[1], metricPrefix) {
+			exported = append(exported, withLabels(m[1], m[2]))
+		}
+	}
+	text, err := os.ReadFile("../../docs/operators/platform.md")
+	is.NoErr(err)
+	row := regexp.MustCompile("(?m)^\\| `(jujubehaven_[a-z_]+)` \\|([^|]*)\\|")
+	for _, m := range row.FindAllStringSubmatch(string(text), -1) {
+		listed = append(listed, withLabels(m[1], strings.Trim(m[2], "` ")))
+	}
+	sort.Strings(exported)
+	sort.Strings(listed)
+	is.Equal(cmp.Diff(exported, listed), "")
+}
+
+func withLabels(name, labels string) string {
+	list := strings.Split(strings.ReplaceAll(labels, " ", ""), ",")
+	sort.Strings(list)
+	return name + "{" + strings.Join(list, ",") + "}"
+}
--- a/internal/tokenhost/journal.go
+++ b/internal/tokenhost/journal.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 	"golang.org/x/time/rate"
 
@@ -35,19 +36,40 @@
 	log     zerolog.Logger
 	clock   func() time.Duration
 	limiter *rate.Limiter
-	left    atomic.Uint64
+	// leftOut counts the lines beyond the rate.
+	leftOut atomic.Uint64
+	// handshakes and answers are the latencies that callers' packets show.
+	handshakes, answers prometheus.Histogram
+}
+
+// latencyBuckets are in seconds, from a handshake within a zone to a caller's
+// longest wait.
+var latencyBuckets = []float64{0.001, 0.003, 0.01, 0.03, 0.06, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 8}
+
+func latency(name, help string) prometheus.Histogram {
+	return prometheus.NewHistogram(prometheus.HistogramOpts{Name: metricPrefix + name, Help: help, Buckets: latencyBuckets})
 }
 
 func newJournal(log zerolog.Logger, clock func() time.Duration) *journal {
-	return &journal{log: log, clock: clock, limiter: rate.NewLimiter(decisionsPerSecond, decisionBurst)}
+	return &journal{
+		log: log, clock: clock, limiter: rate.NewLimiter(decisionsPerSecond, decisionBurst),
+		handshakes: latency("handshake_seconds", "Time from an opening to the end of its handshake, as callers' packets show it."),
+		answers:    latency("answer_seconds", "Time from a request's first data to the first acknowledgement of its answer."),
+	}
 }
 
 // Decided implements direct.Observer.
 func (j *journal) Decided(_ time.Duration, p *steering.Segment, a *steering.Action) {
+	if a.HandshakeTook > 0 {
+		j.handshakes.Observe(a.HandshakeTook.Seconds())
+	}
+	if a.AnswerTook > 0 {
+		j.answers.Observe(a.AnswerTook.Seconds())
+	}
 	switch {
 	case a.Kind == steering.Forward && a.Placed:
 		j.line("flow_placed", p, a).Str("target", string(a.Key)).Float64("load", a.Load).
-			Uint32("copy", p.Copy).Int64("view_age_ms", a.ViewAge/int64(time.Millisecond)).Send()
+			Uint32("copy", p.Copy).Dur("view_age_ms", a.ViewAge).Send()
 	case a.Kind == steering.Forward && a.RequestStarts:
 		j.request(p, a)
 	case a.Kind == steering.Reset:
@@ -69,7 +91,7 @@
 // there were too many.
 func (j *journal) line(event string, p *steering.Segment, a *steering.Action) *zerolog.Event {
 	if !j.limiter.Allow() {
-		j.left.Add(1)
+		j.leftOut.Add(1)
 		return nil
 	}
 	return j.log.Info().Str("event", event).Str("cause", a.Cause.String()).
@@ -105,6 +127,7 @@
 
 // run reports now and then how many lines were left out.
 func (j *journal) run(ctx context.Context) {
+	var told uint64
 	ticker := time.NewTicker(summaryInterval)
 	defer ticker.Stop()
 	for {
@@ -112,8 +135,9 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			if n := j.left.Swap(0); n > 0 {
-				j.log.Info().Str("event", "lines_left_out").Uint64("lines", n).Send()
+			if n := j.leftOut.Load(); n > told {
+				j.log.Info().Str("event", "lines_left_out").Uint64("lines", n-told).Send()
+				told = n
 			}
 		}
 	}
--- a/transport/follow/follow.go
+++ b/transport/follow/follow.go
@@ -97,8 +97,8 @@
 	// Calls and Failures count by operation, failures by kind of error.
 	Calls    map[store.Op]uint64
 	Failures map[store.Kind]uint64
-	// Answered is when the store answered last.
-	Answered      time.Duration
+	// Told is when the store or a feed told this host something last.
+	Told          time.Duration
 	ConfigVersion uint64
 	Rejected      int
 	// Feeds counts what other hosts told.
@@ -407,7 +407,6 @@
 // answered records an answer of the store.
 func (f *Follower) answered() {
 	now := f.cfg.Clock()
-	f.stats.Answered = now
 	f.away = false
 	if f.dir.StoreBack(now) {
 		f.cfg.Log.Info().Str("event", "store_regained").Send()
@@ -464,6 +463,7 @@
 		s.Failures[kind] = n
 	}
 	s.Rejected = len(f.rejected)
+	s.Told = f.fresh
 	return s
 }
 
--- a/transport/gossip/gossip.go
+++ b/transport/gossip/gossip.go
@@ -61,8 +61,9 @@
 	sent, sentBytes, received, rejected atomic.Uint64
 	closed                              atomic.Bool
 
-	// mu guards peers and reads.
+	// mu guards the rest.
 	mu    sync.Mutex
+	seeds []netip.AddrPort
 	peers *peers.Peers
 	reads bool
 	hosts int
@@ -74,7 +75,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "control")
 	}
-	return &Exchange{cfg: cfg, conn: conn, peers: peers.New(cfg.Self), reads: true, hosts: 1}, nil
+	return &Exchange{cfg: cfg, conn: conn, seeds: cfg.Seeds, peers: peers.New(cfg.Self), reads: true, hosts: 1}, nil
 }
 
 // Close ends Serve.
@@ -141,7 +142,8 @@
 	now := e.cfg.Clock()
 	greet := e.peers.Greet(now)
 	to := e.peers.Round(now)
-	former := e.reads
+	seeds := e.seeds
+	formerReads, formerHosts := e.reads, e.hosts
 	e.reads = e.peers.Reads(now, answers, leaving)
 	e.hosts = e.peers.Hosts(now)
 	reads, hosts := e.reads, e.hosts
@@ -150,13 +152,16 @@
 		loads.Targets[steering.Token(token)] = steering.TargetLoad{Open: l.Open, Busy: l.Busy, Silent: l.Silent}
 	}
 	e.mu.Unlock()
-	if reads != former {
+	if hosts != formerHosts {
+		e.cfg.Log.Info().Str("event", "hosts_changed").Int("hosts", hosts).Int("former", formerHosts).Send()
+	}
+	if reads != formerReads {
 		e.cfg.Log.Info().Str("event", "reader_changed").Bool("reads", reads).Int("hosts", hosts).Bool("store_answers", answers).Send()
 	}
 	e.cfg.Local.TakeLoads(loads)
 	if greet {
 		hello := &gossip.Message{Kind: gossip.KindHello, From: e.cfg.Self}
-		e.send(hello, e.cfg.Seeds...)
+		e.send(hello, seeds...)
 	}
 	if len(to) == 0 {
 		return
@@ -165,6 +170,13 @@
 	e.send(beat, addrs(to)...)
 }
 
+// SetSeeds replaces the hosts to meet first.
+func (e *Exchange) SetSeeds(seeds []netip.AddrPort) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.seeds = seeds
+}
+
 // Reads reports whether this host reads the store for its zone.
 func (e *Exchange) Reads() bool {
 	e.mu.Lock()
