Give flows of silent targets up only on strict, fresh evidence, and bound what a feed takes

Change: a feed that takes over 40 KB to all hosts is announced only, and each host asks the store; a flow is given up at its caller's second repetition, after 0.7 s of silence to three flows, while another flow was left unanswered within a second and twice as many targets answer. Beats are bounded to 20 KB a second.

--- a/coordination/peers/peers.go
+++ b/coordination/peers/peers.go
@@ -16,9 +16,11 @@
 const (
 	// BeatInterval is the time between two rounds of beats.
 	BeatInterval = 200 * time.Millisecond
-	// beatsARound bounds the beats of a round, so that the bytes a second do
+	// maxBeatsARound bounds the beats of a round, so that the bytes a second do
 	// not grow with the hosts of a zone.
-	beatsARound = 8
+	maxBeatsARound = 8
+	// roundBytes bounds the bytes of a round: 20 KB a second.
+	roundBytes = 4 << 10
 	// liveRounds is how many beats of a host may be missed before it counts as
 	// gone.
 	liveRounds = 4
@@ -51,16 +53,19 @@
 // Peers is what one host knows of the others. It is not safe for concurrent
 // use.
 type Peers struct {
-	self    gossip.Host
-	peers   map[string]*peer
-	turn    int
+	self  gossip.Host
+	peers map[string]*peer
+	turn  int
+	// aRound is the number of beats in the last round; the other hosts of the
+	// zone send about as many.
+	aRound  int
 	helloed time.Duration
 	greeted bool
 }
 
 // New returns the view of a host that knows no other.
 func New(self gossip.Host) *Peers {
-	return &Peers{self: self, peers: map[string]*peer{}}
+	return &Peers{self: self, peers: map[string]*peer{}, aRound: maxBeatsARound}
 }
 
 // Hear takes a message of another host in.
@@ -148,16 +153,17 @@
 	return true
 }
 
-// Round lists the hosts of the zone that get a beat in this round, and forgets
-// hosts that nobody has named for long.
-func (p *Peers) Round(now time.Duration) []gossip.Host {
+// Round lists the hosts of the zone that get a beat of some bytes in this
+// round, and forgets hosts that nobody has named for long.
+func (p *Peers) Round(now time.Duration, beatBytes int) []gossip.Host {
+	p.aRound = min(max(roundBytes/max(beatBytes, 1), 1), maxBeatsARound)
 	zone := p.zonePeers()
 	for name, other := range p.peers {
 		if now >= other.told+forgetAfter {
 			delete(p.peers, name)
 		}
 	}
-	n := min(len(zone), beatsARound)
+	n := min(len(zone), p.aRound)
 	round := make([]gossip.Host, 0, n)
 	for range n {
 		p.turn = (p.turn + 1) % len(zone)
@@ -183,7 +189,7 @@
 
 // live reports whether a host has been heard lately.
 func (p *Peers) live(now time.Duration, other *peer, zoneHosts int) bool {
-	rounds := (zoneHosts + beatsARound - 1) / beatsARound
+	rounds := (zoneHosts + p.aRound - 1) / p.aRound
 	return other.everHeard && now < other.heard+liveRounds*time.Duration(max(rounds, 1))*BeatInterval
 }
 
--- a/coordination/steering/flows.go
+++ b/coordination/steering/flows.go
@@ -57,6 +57,12 @@
 // seqAfter reports whether sequence number a is after b (RFC 9293, 3.4).
 func seqAfter(a, b uint32) bool { return int32(a-b) > 0 }
 
+// repeats reports whether a packet repeats data that was repeated before
+// without an answer.
+func (f *flow) repeats(p *Segment) bool {
+	return f.blamed && len(p.Payload) > 0 && !seqAfter(p.Seq+uint32(len(p.Payload)), f.nextSeq) && !seqAfter(p.Ack, f.ack)
+}
+
 // remember returns the flow's state, new if it is not known.
 func (s *Steering) remember(key packet.Flow) *flow {
 	f := s.flows[key]
--- a/coordination/steering/health.go
+++ b/coordination/steering/health.go
@@ -10,12 +10,17 @@
 	// blamesNeeded is how many flows have to go without an answer when
 	// none of them is an opening, which a target answers at once.
 	blamesNeeded = 2
-	// deadAfter is how long a target has to be silent before flows that their
-	// callers may repeat are given up.
-	deadAfter = 300 * time.Millisecond
-	// surelyDeadAfter is how long it has to be silent before such a flow is
-	// given up with its next request, without waiting for an answer.
-	surelyDeadAfter = time.Second
+	// deadBlames, deadAfter and deadWait are the flows without an answer, the
+	// silence of the target and the wait of a flow itself that it takes to give
+	// the flow up: longer than a full link of this host lasts, and the second
+	// repetition of the caller.
+	deadBlames = 3
+	deadAfter  = 700 * time.Millisecond
+	deadWait   = 500 * time.Millisecond
+	// blameFresh is how old the last flow without an answer may be, and
+	// answerFresh the last answer, to count as now.
+	blameFresh  = time.Second
+	answerFresh = 500 * time.Millisecond
 	// firstHold and maxHold bound how long a silent target gets no new flow
 	// before one is tried; each failed try doubles it.
 	firstHold = 500 * time.Millisecond
@@ -30,6 +35,8 @@
 	// if all were; blames counts the flows that repeated theirs since.
 	unanswered time.Duration
 	blames     int
+	// blamed is when a flow went without an answer last.
+	blamed time.Duration
 	// silent is set while the target is believed not to answer. since is when
 	// that began and until when the next opening may be tried.
 	silent bool
@@ -55,18 +62,24 @@
 	if h.progress > sent {
 		return false // it answers others: the packet was lost or refused
 	}
+	h.blamed = now
 	return h.suspect(now)
 }
 
-// dataRepeated records that a flow repeated data that it sent first at a time.
-func (h *health) dataRepeated(now, sent time.Duration) bool {
+// dataRepeated records that a flow repeated data that it sent first at a time,
+// for the first time or again. It reports whether the target counts as silent
+// from now on.
+func (h *health) dataRepeated(now, sent time.Duration, first bool) bool {
 	if h.progress > sent {
 		return false // it answers others: this flow waits for a slot
 	}
 	if h.unanswered == 0 || sent < h.unanswered {
 		h.unanswered = sent
 	}
-	h.blames++
+	if first {
+		h.blames++
+	}
+	h.blamed = now
 	if h.blames < blamesNeeded || now-h.unanswered < silenceBound {
 		return false
 	}
@@ -88,14 +101,20 @@
 }
 
 // dead reports whether a flow that has waited for a time is to be given up: the
-// target has answered nobody for long, though several asked.
+// target has answered nobody for long, though several asked and one of them did
+// so just now.
 func (h *health) dead(now, waited time.Duration) bool {
-	if !h.silent || h.blames < blamesNeeded || now-h.since < deadAfter {
-		return false
-	}
-	return waited >= silenceBound || now-h.since >= surelyDeadAfter
+	return h.silent && h.blames >= deadBlames && now-h.since >= deadAfter &&
+		now-h.blamed < blameFresh && waited >= deadWait
 }
 
+// answering reports whether the target has answered a moment ago.
+func (h *health) answering(now time.Duration) bool { return now-h.progress < answerFresh }
+
+// accused reports whether the target is silent and was asked in vain a moment
+// ago.
+func (h *health) accused(now time.Duration) bool { return h.silent && now-h.blamed < blameFresh }
+
 // usable reports whether new flows may be placed at the target: it answers, or
 // it is time to try.
 func (h *health) usable(now time.Duration) bool { return !h.silent || now >= h.until }
--- a/coordination/steering/steering.go
+++ b/coordination/steering/steering.go
@@ -241,16 +241,31 @@
 		f.open = true
 	}
 	s.attach(f, t)
-	s.observe(now, p, f, a)
-	if r.idempotent && len(p.Payload) > 0 && t.health.dead(now, now-f.asked) {
+	if r.idempotent && f.repeats(p) && t.health.dead(now, now-f.asked) && s.pathsWork(now) {
 		s.refuse(p, a, CauseTargetSilent, verdict.MayHaveRun)
 		a.Key = t.entry.Key
 		s.forget(p.Flow)
 		return
 	}
+	s.observe(now, p, f, a)
 	s.forward(now, t, a, CauseKnown)
 }
 
+// pathsWork reports whether this host reaches most of its targets, so that one
+// that does not answer has to blame itself.
+func (s *Steering) pathsWork(now time.Duration) bool {
+	answering, accused := 0, 0
+	for _, t := range s.targets {
+		switch {
+		case t.health.accused(now):
+			accused++
+		case t.health.answering(now):
+			answering++
+		}
+	}
+	return answering >= 2*accused
+}
+
 // handleUnknown decides about a packet whose token no target has. The target
 // may be one that this host has not heard of yet; if nothing is heard of it
 // for long while the store tells all, it is gone.
@@ -324,12 +339,10 @@
 	if !seqAfter(end, f.nextSeq) {
 		s.counts.Repeats++
 		s.setBusy(f, true)
-		if !f.blamed {
-			f.blamed = true
-			if t.health.dataRepeated(now, f.asked) {
-				s.silenced(now, t)
-			}
+		if t.health.dataRepeated(now, f.asked, !f.blamed) {
+			s.silenced(now, t)
 		}
+		f.blamed = true
 		return
 	}
 	f.nextSeq = end
--- a/internal/tokenhost/local.go
+++ b/internal/tokenhost/local.go
@@ -1,6 +1,9 @@
 package tokenhost
 
 import (
+	"cmp"
+	"slices"
+
 	"github.com/jujubehaven/jujubehaven/coordination/steering"
 	"github.com/jujubehaven/jujubehaven/protocol/gossip"
 )
@@ -20,6 +23,9 @@
 // TakeLoads implements gossip.Local.
 func (l local) TakeLoads(p *steering.PeerLoads) { l.h.packets.SetPeerLoads(p) }
 
+// maxLoads bounds the targets that a beat tells of: those with most work.
+const maxLoads = 64
+
 // Loads implements gossip.Local.
 func (l local) Loads() []gossip.Load {
 	var loads []gossip.Load
@@ -28,5 +34,8 @@
 			loads = append(loads, gossip.Load{Token: uint32(t.Token), Open: t.Open, Busy: t.Busy, Silent: t.Silent})
 		}
 	}
-	return loads
+	slices.SortFunc(loads, func(a, b gossip.Load) int {
+		return cmp.Or(cmp.Compare(boolValue(b.Silent), boolValue(a.Silent)), cmp.Compare(b.Busy, a.Busy), cmp.Compare(b.Open, a.Open))
+	})
+	return loads[:min(len(loads), maxLoads)]
 }
--- a/transport/gossip/gossip.go
+++ b/transport/gossip/gossip.go
@@ -18,6 +18,10 @@
 	"github.com/jujubehaven/jujubehaven/protocol/gossip"
 )
 
+// maxFeedBytes bounds what a feed takes to all hosts of the zone together: 30
+// ms of a link of 10 Mbit/s, which carries callers' packets too.
+const maxFeedBytes = 40_000
+
 // Local is what the rest of the host tells.
 type Local interface {
 	// StoreAnswers reports whether the store answers this host.
@@ -138,10 +142,16 @@
 
 func (e *Exchange) round() {
 	answers, leaving := e.cfg.Local.StoreAnswers(), e.cfg.Local.Leaving()
+	beat, err := gossip.Encode(&gossip.Message{
+		Kind: gossip.KindBeat, From: e.cfg.Self, StoreAnswers: answers, Leaving: leaving, Loads: e.cfg.Local.Loads(),
+	})
+	if err != nil {
+		e.cfg.Log.Error().Str("event", "gossip_failed").Str("kind", string(gossip.KindBeat)).Err(err).Send()
+	}
 	e.mu.Lock()
 	now := e.cfg.Clock()
 	greet := e.peers.Greet(now)
-	to := e.peers.Round(now)
+	to := e.peers.Round(now, len(beat))
 	seeds := e.seeds
 	formerReads, formerHosts := e.reads, e.hosts
 	e.reads = e.peers.Reads(now, answers, leaving)
@@ -163,11 +173,9 @@
 		hello := &gossip.Message{Kind: gossip.KindHello, From: e.cfg.Self}
 		e.send(hello, seeds...)
 	}
-	if len(to) == 0 {
-		return
+	if err == nil {
+		e.write(beat, addrs(to)...)
 	}
-	beat := &gossip.Message{Kind: gossip.KindBeat, From: e.cfg.Self, StoreAnswers: answers, Leaving: leaving, Loads: e.cfg.Local.Loads()}
-	e.send(beat, addrs(to)...)
 }
 
 // SetSeeds replaces the hosts to meet first.
@@ -193,7 +201,7 @@
 		return
 	}
 	m := &gossip.Message{Kind: gossip.KindFeed, From: e.cfg.Self, StoreAnswers: true, Leaving: e.cfg.Local.Leaving(), Feed: f}
-	if _, err := gossip.Encode(m); err != nil {
+	if b, err := gossip.Encode(m); err != nil || len(b)*len(to) > maxFeedBytes {
 		f.Changes, f.Partial = nil, true // too long: the others ask the store
 	}
 	e.send(m, addrs(to)...)
@@ -214,6 +222,11 @@
 		e.cfg.Log.Error().Str("event", "gossip_failed").Str("kind", string(m.Kind)).Err(err).Send()
 		return
 	}
+	e.write(b, to...)
+}
+
+// write sends an encoded message.
+func (e *Exchange) write(b []byte, to ...netip.AddrPort) {
 	for _, addr := range to {
 		if _, err := e.conn.WriteToUDPAddrPort(b, addr); err != nil {
 			e.cfg.Log.Debug().Str("event", "gossip_failed").Stringer("to", addr).Err(err).Send()
