--- a/coordination/peers/peers.go
+++ b/coordination/peers/peers.go
@@ -239,7 +239,8 @@
 			total := sum[l.Token]
 			total.Open += l.Open
 			total.Busy += l.Busy
-			total.Silent = total.Silent || l.Silent
+			total.Silent += l.Silent
+			total.Fast = max(total.Fast, l.Fast)
 			sum[l.Token] = total
 		}
 	}
--- a/coordination/peers/peers_test.go
+++ b/coordination/peers/peers_test.go
@@ -153,8 +153,8 @@
 	is := is.New(t)
 	p := New(host(0, "a"))
 	p.Hear(0, beat(host(1, "a"), true, gossip.Load{Token: 7, Open: 2, Busy: 1}))
-	p.Hear(0, beat(host(2, "a"), true, gossip.Load{Token: 7, Open: 3, Busy: 2, Silent: true}))
-	is.Equal(p.Loads(0)[7], gossip.Load{Open: 5, Busy: 3, Silent: true})
+	p.Hear(0, beat(host(2, "a"), true, gossip.Load{Token: 7, Open: 3, Busy: 2, Silent: 1}))
+	is.Equal(p.Loads(0)[7], gossip.Load{Open: 5, Busy: 3, Silent: 1})
 	is.Equal(len(p.Loads(time.Minute)), 0)
 }
 
--- a/coordination/steering/health.go
+++ b/coordination/steering/health.go
@@ -10,11 +10,12 @@
 	// blamesNeeded is how many flows have to go without an answer when
 	// none of them is an opening, which a target answers at once.
 	blamesNeeded = 2
-	// deadBlames, deadAfter and deadWait are the flows without an answer, the
-	// silence of the target and the wait of a flow itself that it takes to give
+	// deadBlames or deadHosts, deadAfter and deadWait are the flows without an
+	// answer or the other hosts that get none, the silence of the target and the wait of a flow itself that it takes to give
 	// the flow up: longer than a full link of this host lasts, and the second
 	// repetition of the caller.
 	deadBlames = 3
+	deadHosts  = 2
 	deadAfter  = 700 * time.Millisecond
 	deadWait   = 500 * time.Millisecond
 	// blameFresh is how old the last flow without an answer may be, and
@@ -101,10 +102,11 @@
 }
 
 // dead reports whether a flow that has waited for a time is to be given up: the
-// target has answered nobody for long, though several asked and one of them did
-// so just now.
-func (h *health) dead(now, waited time.Duration) bool {
-	return h.silent && h.blames >= deadBlames && now-h.since >= deadAfter &&
+// target has answered nobody for long, though several flows, or several hosts,
+// asked and one of them did so just now.
+func (h *health) dead(now, waited time.Duration, hosts int) bool {
+	asked := h.blames >= deadBlames || (h.blames > 0 && hosts >= deadHosts)
+	return h.silent && asked && now-h.since >= deadAfter &&
 		now-h.blamed < blameFresh && waited >= deadWait
 }
 
--- a/coordination/steering/loads.go
+++ b/coordination/steering/loads.go
@@ -1,14 +1,19 @@
 package steering
 
-import "github.com/jujubehaven/jujubehaven/coordination/fleet"
+import (
+	"time"
+
+	"github.com/jujubehaven/jujubehaven/coordination/fleet"
+)
 
 // TargetLoad is the work of one target for the callers of some hosts.
 type TargetLoad struct {
 	// Open counts flows, Busy those with a request in work.
 	Open, Busy int
-	// Silent is set while one of the hosts finds that the target does not
-	// answer.
-	Silent bool
+	// Fast is the largest share of answers that a host saw come too fast.
+	Fast float64
+	// Silent counts the hosts that find that the target does not answer.
+	Silent int
 }
 
 // PeerLoads is what the other hosts told lately, summed over them.
@@ -26,6 +31,7 @@
 	for _, t := range s.targets {
 		told := l.Targets[t.token]
 		t.peersOpen, t.peersBusy, t.peersSilent = told.Open, told.Busy, told.Silent
+		t.peersFast = told.Fast
 	}
 }
 
@@ -41,15 +47,19 @@
 }
 
 // TargetStats lists all targets that are not gone.
-func (s *Steering) TargetStats() []TargetStats {
+func (s *Steering) TargetStats(now time.Duration) []TargetStats {
 	list := make([]TargetStats, 0, len(s.targets))
 	for key, t := range s.targets {
 		if t.entry.Gone {
 			continue
 		}
+		silent := 0
+		if t.health.silent {
+			silent = 1
+		}
 		list = append(list, TargetStats{
 			Key: key, Token: t.token, Service: t.entry.Service, Zone: t.entry.Zone,
-			TargetLoad: TargetLoad{Open: t.open, Busy: t.busy + t.opening, Silent: t.health.silent},
+			TargetLoad: TargetLoad{Open: t.open, Busy: t.busy + t.opening, Fast: t.quality.now(now), Silent: silent},
 			Takes:      t.takes(),
 		})
 	}
--- a/coordination/steering/place.go
+++ b/coordination/steering/place.go
@@ -90,14 +90,14 @@
 
 // cost ranks a target for a flow; the lowest is taken.
 func (s *Steering) cost(now time.Duration, t *target, hash uint64) float64 {
-	cost := s.load(now, t)
+	cost := s.load(now, t) + t.qualityLoad(now)
 	if t.entry.Zone != s.cfg.Zone {
 		cost += awayLoad
 	}
 	if !t.health.usable(now) {
 		cost += silentLoad
 	}
-	if t.peersSilent {
+	if t.peersSilent > 0 {
 		cost += peerSilentLoad
 	}
 	if t.entry.Missing {
--- a/coordination/steering/replay_test.go
+++ b/coordination/steering/replay_test.go
@@ -294,7 +294,7 @@
 	is := is.New(t)
 	w := newWorld(t)
 	w.SetPeerLoads(&PeerLoads{Hosts: 2, Targets: map[Token]TargetLoad{
-		TokenOf("a0"): {Busy: 2}, TokenOf("a1"): {Silent: true},
+		TokenOf("a0"): {Busy: 2}, TokenOf("a1"): {Silent: 1},
 	}})
 	for n := range 2 {
 		is.Equal(w.caller(n, orders).open(0).Key, fleet.TargetKey("a2"))
--- a/coordination/steering/steering.go
+++ b/coordination/steering/steering.go
@@ -241,13 +241,13 @@
 		f.open = true
 	}
 	s.attach(f, t)
-	if r.idempotent && f.repeats(p) && t.health.dead(now, now-f.asked) && s.pathsWork(now) {
+	if r.idempotent && f.repeats(p) && t.health.dead(now, now-f.asked, t.peersSilent) && s.pathsWork(now) {
 		s.refuse(p, a, CauseTargetSilent, verdict.MayHaveRun)
 		a.Key = t.entry.Key
 		s.forget(p.Flow)
 		return
 	}
-	s.observe(now, p, f, a)
+	s.observe(now, p, r, f, a)
 	s.forward(now, t, a, CauseKnown)
 }
 
@@ -301,7 +301,7 @@
 }
 
 // observe learns from a packet of an open flow about its target.
-func (s *Steering) observe(now time.Duration, p *Segment, f *flow, a *Action) {
+func (s *Steering) observe(now time.Duration, p *Segment, r *route, f *flow, a *Action) {
 	t := f.target
 	f.seen = now
 	s.setCounted(f, !f.closed)
@@ -315,6 +315,7 @@
 		f.ack = p.Ack
 		if f.busy {
 			a.AnswerTook = now - f.asked
+			t.quality.answered(now, r.usual.tooFast(a.AnswerTook))
 		}
 		f.blamed = false
 		f.baseSeq = f.nextSeq
--- a/coordination/steering/steering_test.go
+++ b/coordination/steering/steering_test.go
@@ -260,6 +260,19 @@
 	is.Equal(c.ask().Kind, Forward)
 }
 
+// Where this host has one flow only, other hosts have to find the target silent
+// too.
+func TestSilentTargetWithOtherWitnesses(t *testing.T) {
+	is := is.New(t)
+	for hosts, want := range map[int]Kind{0: Forward, 1: Forward, 2: Reset} {
+		w := newWorld(t)
+		c, key := silence(w, feeds)
+		w.targets[key].health.blames = 1
+		w.SetPeerLoads(&PeerLoads{Hosts: 4, Targets: map[Token]TargetLoad{TokenOf(key): {Silent: hosts}}})
+		is.Equal(c.ask().Kind, want)
+	}
+}
+
 // A host whose own link is full blames no target: seen when a long feed filled
 // a link of 10 Mbit/s for 0.6 s and its host reset open flows.
 func TestOwnTroubleEndsNoFlow(t *testing.T) {
--- a/coordination/steering/target.go
+++ b/coordination/steering/target.go
@@ -21,9 +21,13 @@
 	open, opening, busy int
 	// peers are the same counts as the other hosts tell them.
 	peersOpen, peersBusy int
-	// peersSilent is set while another host of the zone finds the target silent.
-	peersSilent bool
-	health      health
+	// peersSilent counts the other hosts of the zone that find the target silent.
+	peersSilent int
+	// peersFast is the largest share of too fast answers that another host of
+	// the zone sees.
+	peersFast float64
+	health    health
+	quality   quality
 	// coldSpent is when this host's share of the target's cold rate is used up
 	// to.
 	coldSpent time.Duration
--- a/coordination/steering/view.go
+++ b/coordination/steering/view.go
@@ -12,6 +12,7 @@
 	shares     []share
 	total      int
 	idempotent bool
+	usual      typical
 }
 
 // share is a service's part of a route.
--- a/internal/tokenhost/local.go
+++ b/internal/tokenhost/local.go
@@ -26,16 +26,20 @@
 // maxLoads bounds the targets that a beat tells of: those with most work.
 const maxLoads = 64
 
+const percent = 100
+
 // Loads implements gossip.Local.
 func (l local) Loads() []gossip.Load {
 	var loads []gossip.Load
 	for _, t := range l.h.packets.Stats().Targets {
-		if t.Open > 0 || t.Busy > 0 || t.Silent {
-			loads = append(loads, gossip.Load{Token: uint32(t.Token), Open: t.Open, Busy: t.Busy, Silent: t.Silent})
+		if t.Open > 0 || t.Busy > 0 || t.Silent > 0 || t.Fast > 0 {
+			loads = append(loads, gossip.Load{
+				Token: uint32(t.Token), Open: t.Open, Busy: t.Busy, Silent: t.Silent, Fast: int(t.Fast * percent),
+			})
 		}
 	}
 	slices.SortFunc(loads, func(a, b gossip.Load) int {
-		return cmp.Or(cmp.Compare(boolValue(b.Silent), boolValue(a.Silent)), cmp.Compare(b.Busy, a.Busy), cmp.Compare(b.Open, a.Open))
+		return cmp.Or(cmp.Compare(b.Silent, a.Silent), cmp.Compare(b.Fast, a.Fast), cmp.Compare(b.Busy, a.Busy), cmp.Compare(b.Open, a.Open))
 	})
 	return loads[:min(len(loads), maxLoads)]
 }
--- a/internal/tokenhost/metrics.go
+++ b/internal/tokenhost/metrics.go
@@ -122,7 +122,7 @@
 		key := string(t.Key)
 		out.gauge(c.targetOpen, float64(t.Open), key, t.Service)
 		out.gauge(c.targetBusy, float64(t.Busy), key, t.Service)
-		out.gauge(c.targetSilent, boolValue(t.Silent), key, t.Service)
+		out.gauge(c.targetSilent, float64(t.Silent), key, t.Service)
 	}
 }
 
@@ -130,10 +130,7 @@
 func worthSeries(all []steering.TargetStats) []steering.TargetStats {
 	list := slices.Clone(all)
 	slices.SortFunc(list, func(a, b steering.TargetStats) int {
-		if a.Silent != b.Silent {
-			return cmp.Compare(boolValue(b.Silent), boolValue(a.Silent))
-		}
-		return cmp.Or(cmp.Compare(b.Open, a.Open), cmp.Compare(a.Key, b.Key))
+		return cmp.Or(cmp.Compare(b.Silent, a.Silent), cmp.Compare(b.Open, a.Open), cmp.Compare(a.Key, b.Key))
 	})
 	return list[:min(len(list), maxTargetSeries)]
 }
--- a/protocol/gossip/gossip.go
+++ b/protocol/gossip/gossip.go
@@ -61,8 +61,12 @@
 	// Open counts flows, Busy those with a request in work.
 	Open int `json:"o"`
 	Busy int `json:"b"`
-	// Silent is set while the host finds that the target does not answer.
-	Silent bool `json:"s,omitempty"`
+	// Fast is the share of the target's answers that came too fast for the work,
+	// in percent.
+	Fast int `json:"f,omitempty"`
+	// Silent counts the hosts that find that the target does not answer: 1 or 0
+	// from one host.
+	Silent int `json:"s,omitempty"`
 }
 
 // Feed is what a store told: the changes after one index up to another. Where
--- a/protocol/gossip/gossip_test.go
+++ b/protocol/gossip/gossip_test.go
@@ -15,7 +15,7 @@
 
 func message() *Message {
 	return &Message{
-		Kind: KindBeat, StoreAnswers: true, Loads: []Load{{Token: 7, Open: 2, Busy: 1, Silent: true}},
+		Kind: KindBeat, StoreAnswers: true, Loads: []Load{{Token: 7, Open: 2, Busy: 1, Silent: 1}},
 		From: Host{Name: "h1", Zone: "a", Addr: netip.MustParseAddrPort("10.0.0.1:7720"), Started: 12},
 	}
 }
--- a/transport/direct/direct.go
+++ b/transport/direct/direct.go
@@ -179,7 +179,7 @@
 	stats := s.now
 	stats.Counts = s.cfg.Steering.Counts()
 	stats.Flows = uint64(s.cfg.Steering.Flows())
-	stats.Targets = s.cfg.Steering.TargetStats()
+	stats.Targets = s.cfg.Steering.TargetStats(now)
 	s.stats.Store(&stats)
 }
 
--- a/transport/gossip/gossip.go
+++ b/transport/gossip/gossip.go
@@ -18,6 +18,8 @@
 	"github.com/jujubehaven/jujubehaven/protocol/gossip"
 )
 
+const percent = 100
+
 // maxFeedBytes bounds what a feed takes to all hosts of the zone together: 30
 // ms of a link of 10 Mbit/s, which carries callers' packets too.
 const maxFeedBytes = 40_000
@@ -159,7 +161,7 @@
 	reads, hosts := e.reads, e.hosts
 	loads := &steering.PeerLoads{Hosts: hosts, Settled: e.peers.Settled(now), Targets: map[steering.Token]steering.TargetLoad{}}
 	for token, l := range e.peers.Loads(now) {
-		loads.Targets[steering.Token(token)] = steering.TargetLoad{Open: l.Open, Busy: l.Busy, Silent: l.Silent}
+		loads.Targets[steering.Token(token)] = steering.TargetLoad{Open: l.Open, Busy: l.Busy, Silent: l.Silent, Fast: float64(l.Fast) / percent}
 	}
 	e.mu.Unlock()
 	if hosts != formerHosts {
