Say not ready while no target that takes flows answers a host

Cause: a host whose zone is out and which is cut off from the others kept its callers, though the fabric would use another zone. Ruled out: not ready when the own zone is out (all hosts of a zone would leave).

--- a/coordination/steering/loads.go
+++ b/coordination/steering/loads.go
@@ -46,6 +46,22 @@
 	Takes bool
 }
 
+// CutOff reports whether every target that takes new flows was asked in vain a
+// moment ago: what the fabric sends to this host would be lost.
+func (s *Steering) CutOff(now time.Duration) bool {
+	asked := false
+	for _, t := range s.targets {
+		if !t.takes() {
+			continue
+		}
+		if !t.health.accused(now) {
+			return false
+		}
+		asked = true
+	}
+	return asked
+}
+
 // TargetStats lists all targets that are not gone.
 func (s *Steering) TargetStats(now time.Duration) []TargetStats {
 	list := make([]TargetStats, 0, len(s.targets))
--- a/coordination/steering/steering_test.go
+++ b/coordination/steering/steering_test.go
@@ -273,6 +273,22 @@
 	}
 }
 
+// A host is cut off when nobody that takes flows answers, and only then.
+func TestCutOff(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	is.True(!w.CutOff(w.now)) // nobody was asked
+	w.view.ZonesOut = map[string]bool{"a": true}
+	w.apply()
+	for _, key := range []fleet.TargetKey{"b0", "b1", "b2"} {
+		is.True(!w.CutOff(w.now))
+		w.targets[key].health.openingRepeated(w.now, w.now-200*time.Millisecond)
+	}
+	is.True(w.CutOff(w.now))
+	w.now += blameFresh
+	is.True(!w.CutOff(w.now)) // it may try again
+}
+
 // A host whose own link is full blames no target: seen when a long feed filled
 // a link of 10 Mbit/s for 0.6 s and its host reset open flows.
 func TestOwnTroubleEndsNoFlow(t *testing.T) {
--- a/transport/direct/direct.go
+++ b/transport/direct/direct.go
@@ -62,6 +62,8 @@
 	Flows                             uint64
 	Counts                            steering.Counts
 	Targets                           []steering.TargetStats
+	// CutOff is set while no target that takes new flows answers this host.
+	CutOff bool
 }
 
 // Server is the packet path of one host.
@@ -178,6 +180,7 @@
 	s.cfg.Steering.Tick(now)
 	stats := s.now
 	stats.Counts = s.cfg.Steering.Counts()
+	stats.CutOff = s.cfg.Steering.CutOff(now)
 	stats.Flows = uint64(s.cfg.Steering.Flows())
 	stats.Targets = s.cfg.Steering.TargetStats(now)
 	s.stats.Store(&stats)
