--- a/internal/tokenhost/host_test.go
+++ b/internal/tokenhost/host_test.go
@@ -25,6 +25,7 @@
 	"github.com/jujubehaven/jujubehaven/coordination/fleet"
 	"github.com/jujubehaven/jujubehaven/coordination/steering"
 	"github.com/jujubehaven/jujubehaven/coordination/store"
+	"github.com/jujubehaven/jujubehaven/internal/logging"
 	"github.com/jujubehaven/jujubehaven/internal/settings"
 	"github.com/jujubehaven/jujubehaven/protocol/packet"
 )
@@ -142,7 +143,7 @@
 	}})
 	is.NoErr(err)
 	log := &lockedBuffer{}
-	h, err := New(s, zerolog.New(log), Surroundings{
+	h, err := New(s, logging.New(log, zerolog.DebugLevel), Surroundings{
 		Feed:    still{[]store.Entry{{Key: "t/1", Value: []byte(own.String())}, {Key: "o/c"}}},
 		Keys:    fleet.Keys{Targets: "t/", Operator: "o/"},
 		Decoder: plain{}, Codec: lineCodec{reset: own},
@@ -216,14 +217,16 @@
 	request := "GET / HTTP/1.1\r\nHost: a\r\nRequest-Id: 4f1d\r\n\r\n"
 	is.Equal(x.exchange(packetOf(packet.Data, request)), "7 "+request)
 	is.Equal(x.exchange("u"), "reset")
-	x.eventually("lines", func() bool { return strings.Count(x.log.text(), `"event":"flow_reset"`) == 1 })
+	x.eventually("lines", func() bool { return strings.Count(x.log.text(), "event=flow_reset") == 1 })
 	for _, want := range []string{
-		`"event":"config_in_force","version":3`,
-		`"event":"flow_placed","cause":"placed","caller":"100.64.0.7:1","address":"198.18.0.1:80","target":"t/1"`,
-		`"event":"request_sent","cause":"known","caller":"100.64.0.7:1","address":"198.18.0.1:80","request":"4f1d","target":"t/1"`,
-		`"event":"flow_reset","cause":"no-route"`,
+		`event=config_in_force .*version=3`,
+		`event=flow_placed cause=placed .*from=100.64.0.7:1 .*target=t/1 to=198.18.0.1:80 view_age_ms=`,
+		`event=request_sent cause=known from=100.64.0.7:1 .*request=4f1d target=t/1 to=198.18.0.1:80`,
+		`event=flow_reset cause=no-route from=100.64.0.7:1 .*run=not-run .*to=198.18.0.1:81`,
 	} {
-		is.True(strings.Contains(x.log.text(), want)) // the line of a decision
+		if !regexp.MustCompile(want).MatchString(x.log.text()) {
+			t.Errorf("no line %s in\n%s", want, x.log.text())
+		}
 	}
 	x.eventually("metrics", func() bool {
 		_, body, err := x.get(x.host.settings.Metrics, "/metrics")
@@ -245,7 +248,7 @@
 	x.eventually("not ready", func() bool { return x.status(h.settings.Admin, "/readyz") == http.StatusServiceUnavailable })
 	is.Equal(x.exchange(packetOf(packet.Opening, "")), "7 ")
 	is.NoErr(x.stop())
-	is.True(strings.Contains(x.log.text(), `"event":"leave_done"`))
+	is.True(strings.Contains(x.log.text(), "event=leave_done"))
 }
 
 func TestReload(t *testing.T) {
--- a/internal/tokenhost/journal.go
+++ b/internal/tokenhost/journal.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -12,7 +11,6 @@
 	"golang.org/x/time/rate"
 
 	"github.com/jujubehaven/jujubehaven/coordination/steering"
-	"github.com/jujubehaven/jujubehaven/protocol/packet"
 )
 
 const (
@@ -95,11 +93,9 @@
 		return nil
 	}
 	return j.log.Info().Str("event", event).Str("cause", a.Cause.String()).
-		Stringer("caller", p.Flow.CallerAddr()).Stringer("address", addressOf(&p.Flow))
+		Stringer("from", p.Flow.CallerAddr()).Stringer("to", p.Flow.Service.AddrPort())
 }
 
-func addressOf(f *packet.Flow) netip.AddrPort { return f.Service.AddrPort() }
-
 // requestID reads the ID of an HTTP/1.1 request from the start of its data;
 // empty if it is not there.
 func requestID(data []byte) string {
