--- a/coordination/steering/steering.go
+++ b/coordination/steering/steering.go
@@ -155,68 +155,6 @@
 	}
 }
 
-// handleOpening places a flow, or places it anew when its target does not
-// answer.
-func (s *Steering) handleOpening(now time.Duration, p *Segment, r *route, a *Action) {
-	f := s.flows[p.Flow]
-	if f != nil && f.target != nil && s.keepsOpening(now, p, f) {
-		f.seen = now
-		s.forward(now, f.target, a, CauseKnown)
-		return
-	}
-	var former *target
-	if f != nil {
-		former = f.target
-	}
-	t, cause := s.place(now, p, r, former)
-	if t == nil {
-		s.turnAway(p, a, cause)
-		return
-	}
-	if f == nil {
-		f = s.remember(p.Flow)
-	}
-	if former != nil && former != t {
-		cause = CauseReplaced
-	}
-	a.Load = s.load(now, t)
-	s.detach(f)
-	*f = flow{placed: now, seen: now, nextSeq: p.Seq + 1, baseSeq: p.Seq + 1}
-	s.attach(f, t)
-	s.setOpening(f, true)
-	t.health.tried(now)
-	a.Placed = true
-	s.forward(now, t, a, cause)
-}
-
-// turnAway answers an opening that gets no target: it is dropped if the caller
-// repeats it soon, else refused at once.
-func (s *Steering) turnAway(p *Segment, a *Action, cause Cause) {
-	if cause == CauseBusy {
-		a.Cause = cause
-		return
-	}
-	s.refuse(p, a, cause, verdict.NotRun)
-}
-
-// keepsOpening reports whether a repeated opening goes to the same target
-// again.
-func (s *Steering) keepsOpening(now time.Duration, p *Segment, f *flow) bool {
-	if f.closed || now-f.seen > openingKept {
-		return false // the caller's port is used again
-	}
-	if f.open {
-		return true
-	}
-	if p.Copy > 0 {
-		s.counts.Copies++
-		if f.target.health.openingRepeated(now, f.placed) {
-			s.silenced(now, f.target)
-		}
-	}
-	return f.target.takes() && !f.target.health.silent && p.Copy == 0
-}
-
 // handleFlow sends a packet of an open flow to the target that its token
 // names.
 func (s *Steering) handleFlow(now time.Duration, p *Segment, r *route, a *Action) {
@@ -251,21 +189,6 @@
 	s.forward(now, t, a, CauseKnown)
 }
 
-// pathsWork reports whether this host reaches most of its targets, so that one
-// that does not answer has to blame itself.
-func (s *Steering) pathsWork(now time.Duration) bool {
-	answering, accused := 0, 0
-	for _, t := range s.targets {
-		switch {
-		case t.health.accused(now):
-			accused++
-		case t.health.answering(now):
-			answering++
-		}
-	}
-	return answering >= 2*accused
-}
-
 // handleUnknown decides about a packet whose token no target has. The target
 // may be one that this host has not heard of yet; if nothing is heard of it
 // for long while the store tells all, it is gone.
@@ -294,86 +217,6 @@
 	}
 }
 
-// answersStill reports whether callers saw answers of a target after it was
-// taken as gone.
-func (s *Steering) answersStill(t *target) bool {
-	return t.health.progress > t.entry.Since
-}
-
-// observe learns from a packet of an open flow about its target.
-func (s *Steering) observe(now time.Duration, p *Segment, r *route, f *flow, a *Action) {
-	t := f.target
-	f.seen = now
-	s.setCounted(f, !f.closed)
-	if !f.open {
-		f.open = true
-		f.ack = p.Ack
-		a.HandshakeTook = now - f.placed
-		s.progressed(now, t)
-	}
-	if seqAfter(p.Ack, f.ack) {
-		f.ack = p.Ack
-		if f.busy {
-			a.AnswerTook = now - f.asked
-			t.quality.answered(now, r.usual.tooFast(a.AnswerTook))
-		}
-		f.blamed = false
-		f.baseSeq = f.nextSeq
-		s.setBusy(f, false)
-		s.progressed(now, t)
-	}
-	if len(p.Payload) > 0 {
-		s.observeData(now, p, f, a)
-	}
-	if p.Class == packet.Closing || p.Class == packet.Reset {
-		s.setBusy(f, false)
-		s.setOpening(f, false)
-		s.setCounted(f, false)
-		f.closed = true
-	}
-}
-
-// observeData learns from a packet with data of the caller.
-func (s *Steering) observeData(now time.Duration, p *Segment, f *flow, a *Action) {
-	t := f.target
-	end := p.Seq + uint32(len(p.Payload))
-	if !seqAfter(end, f.nextSeq) {
-		s.counts.Repeats++
-		s.setBusy(f, true)
-		if t.health.dataRepeated(now, f.asked, !f.blamed) {
-			s.silenced(now, t)
-		}
-		f.blamed = true
-		return
-	}
-	f.nextSeq = end
-	if !f.busy {
-		f.asked = now
-		a.RequestStarts = true
-		s.setOpening(f, false)
-	}
-	if end-f.baseSeq > maxInFlight {
-		f.baseSeq = end - maxInFlight/2
-		f.blamed = false
-		f.asked = now
-		s.progressed(now, t)
-	}
-	s.setBusy(f, true)
-}
-
-func (s *Steering) progressed(now time.Duration, t *target) {
-	if t.health.answered(now) && s.cfg.Events != nil {
-		s.cfg.Events(Event{Key: t.entry.Key, Answers: true})
-	}
-}
-
-func (s *Steering) silenced(now time.Duration, t *target) {
-	s.counts.Silenced++
-	if s.cfg.Events != nil {
-		s.cfg.Events(Event{Key: t.entry.Key, Silence: now - t.health.progress, Blames: t.health.blames})
-	}
-}
-
 func (s *Steering) forward(now time.Duration, t *target, a *Action, cause Cause) {
 	a.Kind = Forward
 	a.Cause = cause
--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -1,7 +1,6 @@
 package e2e
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -13,7 +12,6 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -21,14 +19,15 @@
 	"github.com/matryer/is"
 
 	"github.com/jujubehaven/jujubehaven/coordination/store"
-	// The test cache knows imports only, not the programs that TestMain builds.
 	_ "github.com/jujubehaven/jujubehaven/internal/bench"
 	_ "github.com/jujubehaven/jujubehaven/internal/daemon"
 	"github.com/jujubehaven/jujubehaven/internal/fakes/authority"
+	"github.com/jujubehaven/jujubehaven/internal/fakes/buffer"
 	_ "github.com/jujubehaven/jujubehaven/internal/fakes/fabric"
 	"github.com/jujubehaven/jujubehaven/internal/fakes/platform"
 	_ "github.com/jujubehaven/jujubehaven/internal/fakes/target"
 	"github.com/jujubehaven/jujubehaven/protocol/document"
+	// The test cache knows imports only, not the programs that TestMain builds.
 )
 
 const (
@@ -124,29 +123,11 @@
 	zone     string
 	addr     netip.Addr
 	settings string
-	log      lockedBuffer
+	log      buffer.Buffer
 	cmd      *exec.Cmd
 	done     chan struct{}
 }
 
-// lockedBuffer collects what a process logs.
-type lockedBuffer struct {
-	mu  sync.Mutex
-	buf bytes.Buffer
-}
-
-func (b *lockedBuffer) Write(p []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.buf.Write(p)
-}
-
-func (b *lockedBuffer) String() string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.buf.String()
-}
-
 // cluster is the balancers of one test and what they have in common.
 type cluster struct {
 	addrs     *addresses
--- a/internal/e2e/traffic_test.go
+++ b/internal/e2e/traffic_test.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
+	"github.com/jujubehaven/jujubehaven/internal/fakes/buffer"
 	"github.com/jujubehaven/jujubehaven/internal/fakes/caller"
 	"github.com/jujubehaven/jujubehaven/protocol/document"
 )
@@ -110,7 +111,7 @@
 // startFake runs a stand-in until the test ends and waits until it listens.
 func startFake(t *testing.T, cmd *exec.Cmd) {
 	t.Helper()
-	var out lockedBuffer
+	var out buffer.Buffer
 	cmd.Stdout, cmd.Stderr = &out, &out
 	is.New(t).NoErr(cmd.Start())
 	t.Cleanup(func() {
--- /dev/null
+++ b/internal/fakes/buffer/buffer.go
@@ -0,0 +1,27 @@
+// Package buffer holds what processes under test write.
+package buffer
+
+import (
+	"bytes"
+	"sync"
+)
+
+// Buffer is a bytes.Buffer that is safe for concurrent use.
+type Buffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *Buffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+// String returns all that was written.
+func (b *Buffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
--- a/internal/logging/bounded_test.go
+++ b/internal/logging/bounded_test.go
@@ -1,16 +1,16 @@
 package logging
 
 import (
-	"bytes"
 	"io"
 	"os"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
+
+	"github.com/jujubehaven/jujubehaven/internal/fakes/buffer"
 )
 
 // A reader that never reads must not hold up the one who logs, nor the end of
@@ -39,25 +39,14 @@
 	is.True(q.Dropped() > 0)
 }
 
-type lockedBuffer struct {
-	mu  sync.Mutex
-	buf bytes.Buffer
-}
-
-func (b *lockedBuffer) Write(p []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.buf.Write(p)
-}
-
 func TestCloseWritesWhatWaits(t *testing.T) {
 	is := is.New(t)
-	var out lockedBuffer
+	var out buffer.Buffer
 	q := NewQueue(&out)
 	for range 100 {
 		_, err := io.WriteString(q, "line\n")
 		is.NoErr(err)
 	}
 	is.NoErr(q.Close())
-	is.Equal(strings.Count(out.buf.String(), "line\n"), 100)
+	is.Equal(strings.Count(out.String(), "line\n"), 100)
 }
--- a/internal/tokenhost/host_test.go
+++ b/internal/tokenhost/host_test.go
@@ -1,7 +1,6 @@
 package tokenhost
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -12,7 +11,6 @@
 	"regexp"
 	"sort"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -25,6 +23,7 @@
 	"github.com/jujubehaven/jujubehaven/coordination/fleet"
 	"github.com/jujubehaven/jujubehaven/coordination/steering"
 	"github.com/jujubehaven/jujubehaven/coordination/store"
+	"github.com/jujubehaven/jujubehaven/internal/fakes/buffer"
 	"github.com/jujubehaven/jujubehaven/internal/logging"
 	"github.com/jujubehaven/jujubehaven/internal/settings"
 	"github.com/jujubehaven/jujubehaven/protocol/packet"
@@ -91,29 +90,12 @@
 	return []byte("reset"), c.reset
 }
 
-type lockedBuffer struct {
-	mu  sync.Mutex
-	buf bytes.Buffer
-}
-
-func (b *lockedBuffer) Write(p []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.buf.Write(p)
-}
-
-func (b *lockedBuffer) text() string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.buf.String()
-}
-
 // site is a running host with a socket that is its target and its caller.
 type site struct {
 	t      *testing.T
 	host   *Host
 	socket *net.UDPConn
-	log    *lockedBuffer
+	log    *buffer.Buffer
 	leave  context.CancelFunc
 	done   chan error
 }
@@ -142,7 +124,7 @@
 		return v, ok
 	}})
 	is.NoErr(err)
-	log := &lockedBuffer{}
+	log := &buffer.Buffer{}
 	h, err := New(s, logging.New(log, zerolog.DebugLevel), Surroundings{
 		Feed:    still{[]store.Entry{{Key: "t/1", Value: []byte(own.String())}, {Key: "o/c"}}},
 		Keys:    fleet.Keys{Targets: "t/", Operator: "o/"},
@@ -174,7 +156,7 @@
 			return
 		}
 	}
-	x.t.Fatalf("not within 20 s: %s; log:\n%s", what, x.log.text())
+	x.t.Fatalf("not within 20 s: %s; log:\n%s", what, x.log.String())
 }
 
 func (x *site) get(addr netip.AddrPort, path string) (int, string, error) {
@@ -217,15 +199,15 @@
 	request := "GET / HTTP/1.1\r\nHost: a\r\nRequest-Id: 4f1d\r\n\r\n"
 	is.Equal(x.exchange(packetOf(packet.Data, request)), "7 "+request)
 	is.Equal(x.exchange("u"), "reset")
-	x.eventually("lines", func() bool { return strings.Count(x.log.text(), "event=flow_reset") == 1 })
+	x.eventually("lines", func() bool { return strings.Count(x.log.String(), "event=flow_reset") == 1 })
 	for _, want := range []string{
 		`event=config_in_force .*version=3`,
 		`event=flow_placed cause=placed .*from=100.64.0.7:1 .*target=t/1 to=198.18.0.1:80 view_age_ms=`,
 		`event=request_sent cause=known from=100.64.0.7:1 .*request=4f1d target=t/1 to=198.18.0.1:80`,
 		`event=flow_reset cause=no-route from=100.64.0.7:1 .*run=not-run .*to=198.18.0.1:81`,
 	} {
-		if !regexp.MustCompile(want).MatchString(x.log.text()) {
-			t.Errorf("no line %s in\n%s", want, x.log.text())
+		if !regexp.MustCompile(want).MatchString(x.log.String()) {
+			t.Errorf("no line %s in\n%s", want, x.log.String())
 		}
 	}
 	x.eventually("metrics", func() bool {
@@ -248,7 +230,7 @@
 	x.eventually("not ready", func() bool { return x.status(h.settings.Admin, "/readyz") == http.StatusServiceUnavailable })
 	is.Equal(x.exchange(packetOf(packet.Opening, "")), "7 ")
 	is.NoErr(x.stop())
-	is.True(strings.Contains(x.log.text(), "event=leave_done"))
+	is.True(strings.Contains(x.log.String(), "event=leave_done"))
 }
 
 func TestReload(t *testing.T) {
@@ -268,13 +250,13 @@
 // left out.
 func TestLinesAreBounded(t *testing.T) {
 	is := is.New(t)
-	var out lockedBuffer
+	var out buffer.Buffer
 	j := newJournal(zerolog.New(&out), func() time.Duration { return 0 })
 	p := steering.Segment{Flow: packet.Flow{Service: service}}
 	for range 100_000 {
 		j.Decided(0, &p, &steering.Action{Kind: steering.Forward, Placed: true})
 	}
-	lines := strings.Count(out.text(), "\n")
+	lines := strings.Count(out.String(), "\n")
 	is.True(lines >= decisionBurst && lines < decisionBurst+decisionsPerSecond*10)
 	is.Equal(j.leftOut.Load(), uint64(100_000-lines))
 }
