--- a/coordination/fleet/directory.go
+++ b/coordination/fleet/directory.go
@@ -11,6 +11,9 @@
 	// returnGrace is how long a missing target is kept after the store's
 	// return: entries that lapsed meanwhile are written again within 2 s.
 	returnGrace = 2500 * time.Millisecond
+	// slowTolerance is how much later than thought a target may become warm
+	// without that being news: beats are read with a delay that varies.
+	slowTolerance = 2 * time.Second
 	// goneKept is how long a target that is gone is remembered for packets of
 	// flows that it had: no flow lives longer without a target.
 	goneKept = 60 * time.Second
@@ -151,13 +154,15 @@
 	ChangeDraining
 	// ChangeReturned is a target that was missing and is back.
 	ChangeReturned
+	// ChangeCold is a target that is slow again, or for longer.
+	ChangeCold
 	// ChangeOther is any other difference.
 	ChangeOther
 )
 
 // String returns the name used in logs.
 func (c Change) String() string {
-	names := [...]string{"none", "new", "restarted", "moved", "draining", "returned", "other"}
+	names := [...]string{"none", "new", "restarted", "moved", "draining", "returned", "cold", "other"}
 	if int(c) < len(names) {
 		return names[c]
 	}
@@ -171,7 +176,7 @@
 	if t.SlowFor > 0 {
 		e.SlowUntil = now + t.SlowFor
 	}
-	change := changeOf(old, t)
+	change := changeOf(now, old, t)
 	if change == ChangeNone && old.Beats == t.Beats {
 		return ChangeNone // read again, not said again
 	}
@@ -180,7 +185,7 @@
 	return change
 }
 
-func changeOf(old *Entry, t Target) Change {
+func changeOf(now time.Duration, old *Entry, t Target) Change {
 	switch {
 	case old == nil || old.Gone:
 		return ChangeNew
@@ -192,6 +197,8 @@
 		return ChangeDraining
 	case old.Missing:
 		return ChangeReturned
+	case t.SlowFor > 0 && now+t.SlowFor > old.SlowUntil+slowTolerance:
+		return ChangeCold
 	case old.Draining != t.Draining || old.Slots != t.Slots || old.Number != t.Number:
 		return ChangeOther
 	}
--- a/coordination/fleet/directory_test.go
+++ b/coordination/fleet/directory_test.go
@@ -98,6 +98,8 @@
 
 func TestChanges(t *testing.T) {
 	drains, moved, again := target("t1", 2), target("t1", 2), target("t1", 1)
+	cold, warming := target("t1", 2), target("t1", 2)
+	cold.SlowFor, warming.SlowFor = 10*time.Second, time.Second
 	drains.Draining = true
 	moved.Addr = netip.MustParseAddrPort("10.0.0.2:80")
 	again.Started = 2
@@ -108,6 +110,8 @@
 	}{
 		{"beat", target("t1", 2), ChangeNone},
 		{"draining", drains, ChangeDraining},
+		{"cold again", cold, ChangeCold},
+		{"nearly warm", warming, ChangeNone},
 		{"another address", moved, ChangeMoved},
 		{"started again", again, ChangeRestarted},
 		{"counts began anew", target("t1", 0), ChangeRestarted},
