Keep the flows of a target whose entry another writer replaced

Now the target counts as missing, gets no new flows while others do, and is gone if it has not written again within 2.5 s.

--- a/coordination/fleet/directory.go
+++ b/coordination/fleet/directory.go
@@ -26,8 +26,9 @@
 	Said time.Duration
 	// SlowUntil is when the target is expected to be warm.
 	SlowUntil time.Duration
-	// Missing is set while the store has no entry of the target and may get it
-	// back: the store was away when the entry lapsed.
+	// Missing is set while the store has no usable entry of the target and may
+	// get it back: the store was away when the entry lapsed, or another writer
+	// replaced it.
 	Missing bool
 	// Gone is set when the target has left or died.
 	Gone bool
@@ -223,11 +224,28 @@
 	d.changed = true
 }
 
+// DoubtTarget records that a target's entry can't be read: another writer may
+// have replaced it. The target counts as missing until it writes again.
+func (d *Directory) DoubtTarget(now time.Duration, key TargetKey) {
+	old := d.targets[key]
+	if old == nil || old.Gone || old.Missing {
+		return
+	}
+	e := *old
+	e.Missing, e.Since = true, now
+	d.targets[key] = &e
+	d.changed = true
+}
+
 // SetTargets records all that the store holds: those that it has no entry of
-// are removed.
-func (d *Directory) SetTargets(now time.Duration, list []Target) {
+// are removed, those whose entry can't be read are missing.
+func (d *Directory) SetTargets(now time.Duration, list []Target, unreadable ...TargetKey) {
 	d.knowsTargets = true
 	seen := make(map[TargetKey]bool, len(list))
+	for _, key := range unreadable {
+		seen[key] = true
+		d.DoubtTarget(now, key)
+	}
 	for _, t := range list {
 		seen[t.Key] = true
 		d.PutTarget(now, t)
--- a/coordination/fleet/directory_test.go
+++ b/coordination/fleet/directory_test.go
@@ -87,6 +87,21 @@
 	is.True(entry(d, "t2").Gone)
 }
 
+// An entry that another writer replaced is written again with the target's next
+// beat; until then the target's flows must not be given up.
+func TestUnreadableEntryIsDoubted(t *testing.T) {
+	is := is.New(t)
+	d := ready()
+	d.DoubtTarget(time.Second, "t1")
+	d.SetTargets(time.Second, nil, "t2")
+	is.True(entry(d, "t1").Missing)
+	is.True(entry(d, "t2").Missing)
+	is.Equal(d.PutTarget(2*time.Second, target("t1", 2)), ChangeReturned)
+	is.Equal(d.Sweep(4*time.Second), []TargetKey{"t2"})
+	d.DoubtTarget(5*time.Second, "t9") // never known
+	is.Equal(entry(d, "t9").Key, TargetKey(""))
+}
+
 func TestNothingIsGoneWhileTheStoreIsAway(t *testing.T) {
 	is := is.New(t)
 	d := ready()
--- a/transport/follow/apply.go
+++ b/transport/follow/apply.go
@@ -24,15 +24,18 @@
 
 func (f *Follower) takeTargets(entries []store.Entry) {
 	list := make([]fleet.Target, 0, len(entries))
+	var unreadable []fleet.TargetKey
 	for _, e := range entries {
 		if !e.Key.HasPrefix(f.cfg.Keys.Targets) {
 			continue
 		}
 		if t, ok := f.decodeTarget(e); ok {
 			list = append(list, t)
+			continue
 		}
+		unreadable = append(unreadable, fleet.TargetKey(e.Key[len(f.cfg.Keys.Targets):]))
 	}
-	f.dir.SetTargets(f.cfg.Clock(), list)
+	f.dir.SetTargets(f.cfg.Clock(), list, unreadable...)
 }
 
 // apply takes one change in and reports whether it says more than that a
@@ -54,8 +57,7 @@
 	}
 	t, ok := f.decodeTarget(c.Entry)
 	if !ok {
-		// The target writes its entry again with its next beat, if it lives.
-		f.dir.RemoveTarget(f.cfg.Clock(), key)
+		f.dir.DoubtTarget(f.cfg.Clock(), key)
 		return true
 	}
 	return f.putTarget(t)
