Publish totals less often and write down how a host's load grows

A host listed all targets twenty times a second for its totals; now five times, and those with something to tell.

--- a/coordination/steering/loads.go
+++ b/coordination/steering/loads.go
@@ -16,6 +16,9 @@
 	Silent int
 }
 
+// worthTelling is the least share of too fast answers that is told.
+const worthTelling = 0.05
+
 // PeerLoads is what the other hosts told lately, summed over them.
 type PeerLoads struct {
 	// Hosts counts the live hosts of this host's zone, itself included.
@@ -62,11 +65,16 @@
 	return asked
 }
 
-// TargetStats lists all targets that are not gone.
+// Known counts the targets of the view, those that are gone included.
+func (s *Steering) Known() int { return len(s.targets) }
+
+// TargetStats lists the targets that this host has something to tell of: flows,
+// requests or a suspicion.
 func (s *Steering) TargetStats(now time.Duration) []TargetStats {
 	list := make([]TargetStats, 0, len(s.targets))
 	for key, t := range s.targets {
-		if t.entry.Gone {
+		fast := t.quality.now(now)
+		if t.entry.Gone || (t.open == 0 && t.busy == 0 && t.opening == 0 && !t.health.silent && fast < worthTelling) {
 			continue
 		}
 		silent := 0
@@ -75,7 +83,7 @@
 		}
 		list = append(list, TargetStats{
 			Key: key, Token: t.token, Service: t.entry.Service, Zone: t.entry.Zone,
-			TargetLoad: TargetLoad{Open: t.open, Busy: t.busy + t.opening, Fast: t.quality.now(now), Silent: silent},
+			TargetLoad: TargetLoad{Open: t.open, Busy: t.busy + t.opening, Fast: fast, Silent: silent},
 			Takes:      t.takes(),
 		})
 	}
--- a/transport/direct/direct.go
+++ b/transport/direct/direct.go
@@ -21,6 +21,9 @@
 	// tickInterval bounds the time between two ticks of the decisions, and
 	// how long a new view or a close waits for an idle reader.
 	tickInterval = 50 * time.Millisecond
+	// publishInterval is the time between two publications of the totals, which
+	// look at all targets.
+	publishInterval = 200 * time.Millisecond
 	// readBufferBytes is the receive buffer asked of the system: some 150 ms
 	// of packets at 10 Mbit/s.
 	readBufferBytes = 1 << 20
@@ -62,6 +65,8 @@
 	Flows                             uint64
 	Counts                            steering.Counts
 	Targets                           []steering.TargetStats
+	// Known counts the targets of the view in force.
+	Known int
 	// CutOff is set while no target that takes new flows answers this host.
 	CutOff bool
 }
@@ -79,6 +84,7 @@
 	seen      *fleet.View
 	seenLoads *steering.PeerLoads
 	ticked    time.Duration
+	published time.Duration
 }
 
 // New opens the socket.
@@ -100,7 +106,7 @@
 // SetPeerLoads hands the loads that other hosts tell to the decisions.
 func (s *Server) SetPeerLoads(l *steering.PeerLoads) { s.loads.Store(l) }
 
-// Stats returns totals that are at most a tick old.
+// Stats returns totals that are some 200 ms old at most.
 func (s *Server) Stats() *Stats { return s.stats.Load() }
 
 // Close ends Run.
@@ -178,8 +184,13 @@
 	}
 	s.ticked = now
 	s.cfg.Steering.Tick(now)
+	if now < s.published+publishInterval {
+		return
+	}
+	s.published = now
 	stats := s.now
 	stats.Counts = s.cfg.Steering.Counts()
+	stats.Known = s.cfg.Steering.Known()
 	stats.CutOff = s.cfg.Steering.CutOff(now)
 	stats.Flows = uint64(s.cfg.Steering.Flows())
 	stats.Targets = s.cfg.Steering.TargetStats(now)
