Report ready only once the packet path has a view

Cause: the follower's first view made a host ready, while the packet path applied it up to 50 ms later, at the next read timeout; packets that the fabric sent meanwhile were dropped as not-ready. SetView now interrupts a waiting read, and readiness asks the packet path.

--- a/internal/tokenhost/host.go
+++ b/internal/tokenhost/host.go
@@ -239,6 +239,8 @@
 		return errors.New("leaving")
 	case !h.follower.Ready():
 		return errors.New("services and targets are not known yet")
+	case !h.packets.HasView():
+		return errors.New("packets are not forwarded yet")
 	case h.packets.Stats().CutOff:
 		return errors.New("no target that takes new flows answers this host")
 	}
--- a/transport/direct/direct.go
+++ b/transport/direct/direct.go
@@ -19,8 +19,7 @@
 const (
 	// maxDatagram is the maximum UDP payload over IPv4 in bytes.
 	maxDatagram = 65507
-	// tickInterval is the minimum time between two calls of Steering.Tick, and
-	// the longest that an idle reader delays a new view.
+	// tickInterval is the minimum time between two calls of Steering.Tick.
 	tickInterval = 50 * time.Millisecond
 	// publishInterval is the minimum time between two updates of Stats. An update
 	// iterates over all targets.
@@ -85,6 +84,8 @@
 	loads  atomic.Pointer[steering.PeerLoads]
 	stats  atomic.Pointer[Stats]
 	closed atomic.Bool
+	// hasView is set once a view was applied.
+	hasView atomic.Bool
 	// The fields below are used only by the goroutine of Run.
 	current      Stats
 	appliedView  *fleet.View
@@ -106,8 +107,16 @@
 	return s, nil
 }
 
-// SetView sets the view that Run applies before its next read.
-func (s *Server) SetView(v *fleet.View) { s.view.Store(v) }
+// SetView sets the view that Run applies before its next read, and interrupts a
+// read that waits for a packet.
+func (s *Server) SetView(v *fleet.View) {
+	s.view.Store(v)
+	// The error is ignored: it means that the socket is closed.
+	_ = s.conn.SetReadDeadline(time.Now())
+}
+
+// HasView reports whether Run has applied a view, so that packets are forwarded.
+func (s *Server) HasView() bool { return s.hasView.Load() }
 
 // SetPeerLoads sets the loads reported by other hosts, which Run applies before
 // its next read.
@@ -185,6 +194,7 @@
 	if v := s.view.Load(); v != s.appliedView {
 		s.appliedView = v
 		s.cfg.Steering.SetView(now, v)
+		s.hasView.Store(true)
 	}
 	if l := s.loads.Load(); l != s.appliedLoads {
 		s.appliedLoads = l
