Judge the path to a zone as a whole

Its two hosts found the targets of the other zones silent one by one from 33.7 to 34.9 s, said not ready at 35.4 and 37.7 s for half a second each, and took flows in between: the evidence expired after 1 s while backoffs run to 4 s, and acknowledgements of answers that had come through the other host counted as answers through this one.

Change: several targets of a zone that leave flows unanswered while none answers for 250 ms make the zone unreachable. Readiness follows within a tick. The verdict ends with an answer to this host's own data, with a reply of one of the zone's hosts (three are queried five times a second), or after 10 s. A hello reply names all hosts of the receiver's zone and four of each other one, and only hosts whose own messages arrive.

The new tests were written with the change and seen failing with each mechanism taken out.

--- a/coordination/peers/peers.go
+++ b/coordination/peers/peers.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -32,8 +33,13 @@
 	// live.
 	initialHelloInterval = 500 * time.Millisecond
 	steadyHelloInterval  = 5 * time.Second
-	// maxKnownHosts bounds the hosts in the reply to a hello message.
-	maxKnownHosts = 60
+	// maxKnownHosts bounds the hosts in the reply to a hello message, of which
+	// maxKnownOtherHosts are of each zone that is not the receiver's.
+	maxKnownHosts      = 256
+	maxKnownOtherHosts = 4
+	// maxZoneContacts bounds the hosts of a zone that are queried to find out
+	// whether the zone can be reached.
+	maxZoneContacts = 3
 	// settleTime is how long after its start a host does not rely on its count of
 	// the zone's hosts.
 	settleTime = 2 * time.Second
@@ -44,12 +50,13 @@
 type peer struct {
 	host gossip.Host
 	// lastHeartbeat is when the host's last heartbeat or store feed arrived,
-	// lastMentioned when any message last named the host.
-	lastHeartbeat, lastMentioned time.Duration
-	hasHeartbeat                 bool
-	storeAnswers                 bool
-	leaving                      bool
-	loads                        []gossip.TargetLoad
+	// lastMessage when its last message of any kind did, lastMentioned when any
+	// message last named the host.
+	lastHeartbeat, lastMessage, lastMentioned time.Duration
+	hasHeartbeat, hasMessage                  bool
+	storeAnswers                              bool
+	leaving                                   bool
+	loads                                     []gossip.TargetLoad
 }
 
 // Peers is one host's list of the other hosts. It is not safe for concurrent
@@ -63,11 +70,13 @@
 	heartbeatsPerRound int
 	lastHello          time.Duration
 	helloSent          bool
+	// zoneAnswers holds when a host of each zone last replied to a hello.
+	zoneAnswers map[string]time.Duration
 }
 
 // New returns an empty list for a host.
 func New(self gossip.Host) *Peers {
-	return &Peers{self: self, peers: map[string]*peer{}, heartbeatsPerRound: maxHeartbeatsPerRound}
+	return &Peers{self: self, peers: map[string]*peer{}, heartbeatsPerRound: maxHeartbeatsPerRound, zoneAnswers: map[string]time.Duration{}}
 }
 
 // Receive processes a message from another host.
@@ -79,6 +88,10 @@
 	if from == nil {
 		return
 	}
+	from.lastMessage, from.hasMessage = now, true
+	if m.Kind == gossip.KindHelloReply {
+		p.zoneAnswers[m.From.Zone] = now
+	}
 	for _, h := range m.KnownHosts {
 		if h.Name != p.self.Name {
 			p.recordHost(now, h)
@@ -112,11 +125,17 @@
 }
 
 // KnownHosts returns the hosts for the reply to a hello message from a host of
-// the zone: the hosts of that zone come first.
+// the zone: the hosts of that zone come first, then a few of each other one. Only hosts whose own messages arrive are named, as two hosts would
+// otherwise name a host to each other long after its death.
 func (p *Peers) KnownHosts(now time.Duration, zone string) []gossip.Host {
 	list := []gossip.Host{p.self}
-	for _, other := range p.sorted() {
-		if now < other.lastMentioned+peerRetention {
+	ofZone := map[string]int{p.self.Zone: 1}
+	for _, other := range p.recent() {
+		if !other.hasMessage || now >= other.lastMessage+peerRetention {
+			continue
+		}
+		ofZone[other.host.Zone]++
+		if other.host.Zone == zone || ofZone[other.host.Zone] <= maxKnownOtherHosts {
 			list = append(list, other.host)
 		}
 	}
@@ -133,6 +152,29 @@
 	return 0
 }
 
+// recent returns the peers ordered by their last message, the latest first.
+func (p *Peers) recent() []*peer {
+	list := p.sorted()
+	slices.SortStableFunc(list, func(a, b *peer) int { return cmp.Compare(b.lastMessage, a.lastMessage) })
+	return list
+}
+
+// ZoneContacts returns a few hosts of a zone, those first that were heard of
+// last.
+func (p *Peers) ZoneContacts(zone string) []gossip.Host {
+	var list []gossip.Host
+	for _, other := range p.recent() {
+		if other.host.Zone == zone && len(list) < maxZoneContacts {
+			list = append(list, other.host)
+		}
+	}
+	return list
+}
+
+// ZoneAnswers returns when a host of each zone last replied to a hello of this
+// host.
+func (p *Peers) ZoneAnswers() map[string]time.Duration { return maps.Clone(p.zoneAnswers) }
+
 // sorted returns the peers ordered by name.
 func (p *Peers) sorted() []*peer {
 	list := make([]*peer, 0, len(p.peers))
--- a/coordination/peers/peers_test.go
+++ b/coordination/peers/peers_test.go
@@ -193,3 +193,40 @@
 	p.NextRound(peerRetention, 100)
 	is.Equal(len(p.ZoneHosts()), 0)
 }
+
+// Guards against dead hosts that two hosts name to each other for ever, and
+// against replies without any host of other zones, or without some of the
+// receiver's zone, in a large fleet.
+func TestKnownHosts(t *testing.T) {
+	is := is.New(t)
+	p := New(host(0, "a"))
+	for n := 1; n <= 200; n++ {
+		zone := string(rune('a' + n%2))
+		p.Receive(0, heartbeat(host(n, zone), true))
+	}
+	p.Receive(0, &gossip.Message{Kind: gossip.KindHelloReply, From: host(1, "b"), KnownHosts: []gossip.Host{host(201, "a")}})
+	known := p.KnownHosts(time.Second, "a")
+	is.Equal(len(known), 1+100+maxKnownOtherHosts)
+	for i, h := range known {
+		is.Equal(h.Zone == "b", i > 100)
+		is.True(h.Name != "h201") // it was only named
+	}
+	is.Equal(len(p.KnownHosts(peerRetention, "a")), 1)
+}
+
+// A zone that can't be reached is queried through those of its hosts that were
+// heard of last; only their replies count as answers.
+func TestZoneContacts(t *testing.T) {
+	is := is.New(t)
+	p := New(host(0, "a"))
+	for n := 1; n <= 8; n++ {
+		p.Receive(time.Duration(n)*time.Second, &gossip.Message{Kind: gossip.KindHello, From: host(n, "b")})
+	}
+	contacts := p.ZoneContacts("b")
+	is.Equal(len(contacts), maxZoneContacts)
+	is.Equal(contacts[0], host(8, "b"))
+	is.Equal(len(p.ZoneContacts("c")), 0)
+	is.Equal(len(p.ZoneAnswers()), 0)
+	p.Receive(9*time.Second, &gossip.Message{Kind: gossip.KindHelloReply, From: host(8, "b")})
+	is.Equal(p.ZoneAnswers(), map[string]time.Duration{"b": 9 * time.Second})
+}
--- a/coordination/steering/flows.go
+++ b/coordination/steering/flows.go
@@ -46,6 +46,8 @@
 	baseSeq uint32
 	ack     uint32
 	busy    bool
+	// awaiting is set while data that this host forwarded is unanswered.
+	awaiting bool
 	// open is set once the caller has completed the handshake.
 	open   bool
 	closed bool
--- a/coordination/steering/loads.go
+++ b/coordination/steering/loads.go
@@ -30,6 +30,8 @@
 	// others.
 	Settled bool
 	Targets map[Token]TargetLoad
+	// ZoneAnswers holds when a host of each other zone last answered this host.
+	ZoneAnswers map[string]time.Duration
 }
 
 // SetPeerLoads replaces the loads reported by the other hosts.
@@ -54,22 +56,6 @@
 	Eligible bool
 }
 
-// CutOff reports whether there are eligible targets and all of them are
-// unresponsive: packets that the fabric sends to this host would be lost.
-func (s *Steering) CutOff(now time.Duration) bool {
-	unresponsive := false
-	for _, t := range s.targets {
-		if !t.eligible() {
-			continue
-		}
-		if !t.health.unresponsive(now) {
-			return false
-		}
-		unresponsive = true
-	}
-	return unresponsive
-}
-
 // NumTargets returns the number of targets in the view, including those that
 // are gone.
 func (s *Steering) NumTargets() int { return len(s.targets) }
--- a/coordination/steering/observe.go
+++ b/coordination/steering/observe.go
@@ -45,10 +45,15 @@
 			a.AnswerTime = now - f.pendingSince
 			t.fastAnswers.addAnswer(now, r.answerTime.addSample(a.AnswerTime))
 		}
+		if f.awaiting {
+			// Without data of this host's own the answer may be to a packet that
+			// another host forwarded long ago.
+			s.recordProgress(now, t)
+		}
 		f.retransmitted = false
+		f.awaiting = false
 		f.baseSeq = f.nextSeq
 		s.setBusy(f, false)
-		s.recordProgress(now, t)
 	}
 	if len(p.Payload) > 0 {
 		s.observeData(now, p, f, a)
@@ -71,6 +76,7 @@
 		if t.health.recordDataRetransmission(now, f.pendingSince, !f.retransmitted) {
 			s.recordSilence(now, t)
 		}
+		s.judgePath(now, t.path)
 		f.retransmitted = true
 		return
 	}
@@ -86,11 +92,13 @@
 		f.pendingSince = now
 		s.recordProgress(now, t)
 	}
+	f.awaiting = true
 	s.setBusy(f, true)
 }
 
 // recordProgress records an answer of a target; a silent one answers again.
 func (s *Steering) recordProgress(now time.Duration, t *target) {
+	s.recordZoneProgress(now, t.path)
 	if !t.health.recordAnswer(now) {
 		return
 	}
--- a/coordination/steering/openings.go
+++ b/coordination/steering/openings.go
@@ -64,6 +64,7 @@
 		if f.target.health.recordOpeningRetransmission(now, f.placedAt) {
 			s.recordSilence(now, f.target)
 		}
+		s.judgePath(now, f.target.path)
 	}
 	return f.target.eligible() && !f.target.health.silent && p.Copy == 0
 }
--- a/coordination/steering/place.go
+++ b/coordination/steering/place.go
@@ -97,7 +97,7 @@
 	if t.entry.Zone != s.cfg.Zone {
 		cost += otherZonePenalty
 	}
-	if !t.health.usable(now) {
+	if t.path.unreachable || !t.health.usable(now) {
 		cost += silentPenalty
 	}
 	if t.peersSilent > 0 {
--- a/coordination/steering/steering.go
+++ b/coordination/steering/steering.go
@@ -23,6 +23,9 @@
 	// Events is called when a target becomes silent or answers again; it may be
 	// nil.
 	Events func(Event)
+	// ZoneEvents is called when a zone becomes unreachable or reachable again; it
+	// may be nil.
+	ZoneEvents func(ZoneEvent)
 	// CompleteTo returns the time up to which this host has read every target
 	// that was written to the store, and false if that is unknown. It may be nil.
 	CompleteTo func() (time.Duration, bool)
@@ -44,11 +47,13 @@
 // Steering makes the forwarding decisions of one host. It holds the host's view
 // and what callers' packets show about flows and targets.
 type Steering struct {
-	cfg       Config
-	view      *fleet.View
-	targets   map[fleet.TargetKey]*target
-	tokens    map[Token]*target
-	pools     map[string]*pool
+	cfg     Config
+	view    *fleet.View
+	targets map[fleet.TargetKey]*target
+	tokens  map[Token]*target
+	pools   map[string]*pool
+	// paths holds the path to each zone that has or had targets.
+	paths     map[string]*zonePath
 	routes    map[packet.Endpoint]*route
 	flows     map[packet.Flow]*flow
 	lastSweep time.Duration
@@ -83,6 +88,7 @@
 		queueLimit: queueLimit,
 		targets:    map[fleet.TargetKey]*target{},
 		tokens:     map[Token]*target{},
+		paths:      map[string]*zonePath{},
 		flows:      map[packet.Flow]*flow{},
 		unknown:    map[Token]time.Duration{},
 	}
@@ -94,8 +100,8 @@
 // NumFlows returns the number of flows in the flow table.
 func (s *Steering) NumFlows() int { return len(s.flows) }
 
-// Tick does the periodic work: it expires flows and ends the presumption that
-// recovered targets are cold. now is on the same clock as in all other calls.
+// Tick does the periodic work: it expires flows, the presumption that recovered
+// targets are cold and verdicts about zones. now is on the same clock as in all other calls.
 func (s *Steering) Tick(now time.Duration) {
 	if s.view == nil || now < s.lastSweep+sweepInterval {
 		return
@@ -103,6 +109,7 @@
 	s.lastSweep = now
 	s.sweep(now)
 	s.endPresumedCold(now)
+	s.expireUnreachable(now)
 }
 
 // Handle decides about one packet and writes the decision to a.
@@ -182,6 +189,7 @@
 		f.nextSeq, f.baseSeq, f.ack = p.Seq, p.Seq, p.Ack
 		f.open = true
 	}
+	sameTarget := f.target == t
 	s.attach(f, t)
 	if r.idempotent && f.retransmitsAgain(p) && t.health.dead(now, now-f.pendingSince, t.peersSilent) && s.mostTargetsAnswer(now) {
 		s.refuse(p, a, CauseTargetSilent, verdict.MayHaveRun)
@@ -189,6 +197,9 @@
 		s.removeFlow(p.Flow)
 		return
 	}
+	if !sameTarget && !f.open {
+		f.open, f.ack = true, p.Ack // another host's opening reached this target
+	}
 	s.observe(now, p, r, f, a)
 	s.forward(now, t, a, CauseKnown)
 }
--- a/coordination/steering/target.go
+++ b/coordination/steering/target.go
@@ -12,6 +12,8 @@
 type target struct {
 	entry fleet.Entry
 	token Token
+	// path is the path from this host to the target's zone.
+	path *zonePath
 	// zoneOut is set while the target's availability zone takes no new flows.
 	zoneOut bool
 	// shadowed is set while an older target has the same token.
--- a/coordination/steering/view.go
+++ b/coordination/steering/view.go
@@ -104,6 +104,7 @@
 		t.health.retryAt = min(t.health.retryAt, now) // a new heartbeat arrived: retry at once
 	}
 	t.entry = *e
+	t.path = s.pathTo(e.Zone)
 	return t
 }
 
--- a/internal/tokenhost/decisionlog.go
+++ b/internal/tokenhost/decisionlog.go
@@ -127,6 +127,16 @@
 		Dur("silence_ms", e.Silence).Int("flows", e.Flows).Send()
 }
 
+// logZoneEvent logs that a zone became unreachable or can be reached again.
+func (l *decisionLog) logZoneEvent(e steering.ZoneEvent) {
+	if e.Reachable {
+		l.log.Info().Str("event", "zone_reachable").Str("zone", e.Zone).Send()
+		return
+	}
+	l.log.Warn().Str("event", "zone_unreachable").Str("zone", e.Zone).
+		Int("targets", e.Targets).Dur("silence_ms", e.Silence).Send()
+}
+
 // run logs the number of lines left out, periodically, until ctx is done.
 func (l *decisionLog) run(ctx context.Context) {
 	var reported uint64
--- a/internal/tokenhost/host.go
+++ b/internal/tokenhost/host.go
@@ -81,7 +81,7 @@
 	var err error
 	h.packets, err = direct.New(direct.Config{
 		Listen: s.Data[0], Codec: deps.Codec, Observer: h.decisions, Clock: h.clock,
-		Steering: steering.New(steering.Config{Zone: s.Zone, Events: h.decisions.logTargetEvent, CompleteTo: h.completeTo, Refresh: h.refresh}),
+		Steering: steering.New(steering.Config{Zone: s.Zone, Events: h.decisions.logTargetEvent, ZoneEvents: h.decisions.logZoneEvent, CompleteTo: h.completeTo, Refresh: h.refresh}),
 	})
 	if err != nil {
 		return nil, err
@@ -241,8 +241,8 @@
 		return errors.New("services and targets are not known yet")
 	case !h.packets.HasView():
 		return errors.New("packets are not forwarded yet")
-	case h.packets.Stats().CutOff:
-		return errors.New("no target that takes new flows answers this host")
+	case h.packets.CutOff():
+		return errors.New("no zone with targets that take new flows is reachable")
 	}
 	return nil
 }
--- a/internal/tokenhost/local.go
+++ b/internal/tokenhost/local.go
@@ -17,6 +17,9 @@
 // Leaving implements gossip.Local.
 func (l local) Leaving() bool { return l.h.leaving.Load() }
 
+// UnreachableZones implements gossip.Local.
+func (l local) UnreachableZones() []string { return l.h.packets.Stats().UnreachableZones }
+
 // HandleFeed implements gossip.Local.
 func (l local) HandleFeed(f *wire.Feed) { l.h.follower.ApplyFeed(f) }
 
--- a/internal/tokenhost/metrics.go
+++ b/internal/tokenhost/metrics.go
@@ -23,6 +23,7 @@
 	received, undecodable, decisions, sendErrors      *prometheus.Desc
 	repeatedOpenings, repeatedData, silenced, flows   *prometheus.Desc
 	targetFlows, targetRequests, targetSilent         *prometheus.Desc
+	unreachableZones                                  *prometheus.Desc
 	storeCalls, storeFailures, viewAge                *prometheus.Desc
 	feeds, configVersion, rejectedEntries, ready      *prometheus.Desc
 	gossipSent, gossipSentBytes, gossipReceived       *prometheus.Desc
@@ -47,6 +48,7 @@
 		targetFlows:      newDesc("target_flows", "Flows at a target through this host.", "target", "service"),
 		targetRequests:   newDesc("target_requests", "Requests in work at a target through this host.", "target", "service"),
 		targetSilent:     newDesc("target_silent", "1 while the target is believed not to answer.", "target", "service"),
+		unreachableZones: newDesc("unreachable_zones", "Zones whose targets this host does not reach."),
 		storeCalls:       newDesc("store_calls_total", "Calls to the store.", "operation"),
 		storeFailures:    newDesc("store_failures_total", "Calls without a usable answer.", "kind"),
 		viewAge:          newDesc("view_age_seconds", "Time since the store or a feed told this host anything."),
@@ -67,7 +69,7 @@
 func (c *collector) descs() []*prometheus.Desc {
 	return []*prometheus.Desc{
 		c.received, c.undecodable, c.decisions, c.sendErrors, c.repeatedOpenings, c.repeatedData, c.silenced, c.flows,
-		c.targetFlows, c.targetRequests, c.targetSilent, c.storeCalls, c.storeFailures, c.viewAge, c.feeds,
+		c.targetFlows, c.targetRequests, c.targetSilent, c.unreachableZones, c.storeCalls, c.storeFailures, c.viewAge, c.feeds,
 		c.configVersion, c.rejectedEntries, c.ready, c.gossipSent, c.gossipSentBytes, c.gossipReceived, c.zoneHosts,
 		c.readsStore, c.linesLeftOut, c.linesDropped,
 	}
@@ -113,6 +115,7 @@
 	out.counter(c.repeatedData, s.Counts.RepeatedData)
 	out.counter(c.silenced, s.Counts.Silenced)
 	out.gauge(c.flows, float64(s.Flows))
+	out.gauge(c.unreachableZones, float64(len(s.UnreachableZones)))
 	for cause := range steering.CauseCount {
 		out.counter(c.decisions, s.Counts.Forwarded[cause], "forward", cause.String())
 		out.counter(c.decisions, s.Counts.Dropped[cause], "drop", cause.String())
--- a/transport/direct/direct.go
+++ b/transport/direct/direct.go
@@ -71,9 +71,8 @@
 	Targets []steering.TargetStats
 	// KnownTargets is the number of targets in the current view.
 	KnownTargets int
-	// CutOff is set while there are targets that accept new flows and none of them
-	// answers this host.
-	CutOff bool
+	// UnreachableZones are the zones whose targets this host does not reach.
+	UnreachableZones []string
 }
 
 // Server runs the packet path of one host.
@@ -86,6 +85,8 @@
 	closed atomic.Bool
 	// hasView is set once a view was applied.
 	hasView atomic.Bool
+	// cutOff is the last result of Steering.CutOff.
+	cutOff atomic.Bool
 	// The fields below are used only by the goroutine of Run.
 	current      Stats
 	appliedView  *fleet.View
@@ -122,6 +123,10 @@
 // its next read.
 func (s *Server) SetPeerLoads(l *steering.PeerLoads) { s.loads.Store(l) }
 
+// CutOff reports whether there are targets that accept new flows and this host
+// reaches none of them.
+func (s *Server) CutOff() bool { return s.cutOff.Load() }
+
 // Stats returns the last published values, which are updated about every 200 ms.
 func (s *Server) Stats() *Stats { return s.stats.Load() }
 
@@ -199,12 +204,14 @@
 	if l := s.loads.Load(); l != s.appliedLoads {
 		s.appliedLoads = l
 		s.cfg.Steering.SetPeerLoads(l)
+		s.cfg.Steering.SetZoneAnswers(now, l.ZoneAnswers)
 	}
 	if now < s.lastTick+tickInterval {
 		return
 	}
 	s.lastTick = now
 	s.cfg.Steering.Tick(now)
+	s.cutOff.Store(s.cfg.Steering.CutOff())
 	if now < s.lastPublish+publishInterval {
 		return
 	}
@@ -212,7 +219,7 @@
 	stats := s.current
 	stats.Counts = s.cfg.Steering.Counts()
 	stats.KnownTargets = s.cfg.Steering.NumTargets()
-	stats.CutOff = s.cfg.Steering.CutOff(now)
+	stats.UnreachableZones = s.cfg.Steering.Unreachable()
 	stats.Flows = uint64(s.cfg.Steering.NumFlows())
 	stats.Targets = s.cfg.Steering.TargetStats(now)
 	s.stats.Store(&stats)
--- a/transport/gossip/gossip.go
+++ b/transport/gossip/gossip.go
@@ -32,6 +32,8 @@
 	StoreAnswers() bool
 	// Leaving reports whether the host is shutting down as planned.
 	Leaving() bool
+	// UnreachableZones returns the zones whose targets this host does not reach.
+	UnreachableZones() []string
 	// Loads returns this host's load on each target.
 	Loads() []gossip.TargetLoad
 	// HandleFeed receives the changes that another host of the zone read from the
@@ -169,11 +171,15 @@
 	helloDue := e.peers.HelloDue(now)
 	to := e.peers.NextRound(now, len(heartbeat))
 	seeds := e.seeds
+	contacts := e.zoneContacts()
 	prevReads, prevHosts := e.reads, e.hosts
 	e.reads = e.peers.ReadsStore(now, answers, leaving)
 	e.hosts = e.peers.LiveHosts(now)
 	reads, hosts := e.reads, e.hosts
-	loads := &steering.PeerLoads{Hosts: hosts, Settled: e.peers.Settled(now), Targets: map[steering.Token]steering.TargetLoad{}}
+	loads := &steering.PeerLoads{
+		Hosts: hosts, Settled: e.peers.Settled(now), Targets: map[steering.Token]steering.TargetLoad{},
+		ZoneAnswers: e.peers.ZoneAnswers(),
+	}
 	for token, l := range e.peers.Loads(now) {
 		loads.Targets[steering.Token(token)] = steering.TargetLoad{Open: l.Open, Busy: l.Busy, Silent: l.Silent, FastShare: float64(l.FastPercent) / percent}
 	}
@@ -185,15 +191,26 @@
 		e.cfg.Log.Info().Str("event", "reader_changed").Bool("reads", reads).Int("hosts", hosts).Bool("store_answers", answers).Send()
 	}
 	e.cfg.Local.HandleLoads(loads)
+	hello := &gossip.Message{Kind: gossip.KindHello, From: e.cfg.Self}
 	if helloDue {
-		hello := &gossip.Message{Kind: gossip.KindHello, From: e.cfg.Self}
 		e.send(hello, seeds...)
 	}
+	e.send(hello, contacts...)
 	if err == nil {
 		e.write(heartbeat, addrs(to)...)
 	}
 }
 
+// zoneContacts returns the hosts that are queried to find out whether an
+// unreachable zone can be reached again. The caller holds e.mu.
+func (e *Exchange) zoneContacts() []netip.AddrPort {
+	var list []netip.AddrPort
+	for _, zone := range e.cfg.Local.UnreachableZones() {
+		list = append(list, addrs(e.peers.ZoneContacts(zone))...)
+	}
+	return list
+}
+
 // SetSeeds replaces the addresses of the seeds.
 func (e *Exchange) SetSeeds(seeds []netip.AddrPort) {
 	e.mu.Lock()
--- a/transport/gossip/gossip_test.go
+++ b/transport/gossip/gossip_test.go
@@ -26,6 +26,14 @@
 	loads     []gossip.TargetLoad
 	feeds     []gossip.Feed
 	peerLoads *steering.PeerLoads
+	// unreachable is what UnreachableZones returns.
+	unreachable []string
+}
+
+func (s *localStub) UnreachableZones() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.unreachable
 }
 
 func (s *localStub) StoreAnswers() bool { s.mu.Lock(); defer s.mu.Unlock(); return s.answers }
@@ -197,3 +205,27 @@
 	eventually(t, "three rejected datagrams", func() bool { return h.Stats().Rejected == 3 })
 	is.Equal(h.Stats().Hosts, 1)
 }
+
+// A host that does not reach the targets of a zone queries hosts of that zone
+// and passes on when they answer.
+func TestUnreachableZoneIsQueried(t *testing.T) {
+	seed := startHost(t, "s", "b")
+	startHost(t, "f", "b", seed.addr)
+	near := startHost(t, "n", "a", seed.addr)
+	eventually(t, "the seed knows the zone's hosts", func() bool { return seed.Stats().Received >= 2 })
+	near.localStub.mu.Lock()
+	near.unreachable = []string{"b"}
+	near.localStub.mu.Unlock()
+	last := func() time.Duration {
+		near.localStub.mu.Lock()
+		defer near.localStub.mu.Unlock()
+		if near.peerLoads == nil {
+			return 0
+		}
+		return near.peerLoads.ZoneAnswers["b"]
+	}
+	first := last()
+	eventually(t, "an answer", func() bool { return last() > first })
+	second := last()
+	eventually(t, "another answer", func() bool { return last() > second })
+}
