Count calls to the store by reason

Each call has a reason now, as a label of jujubehaven_token_store_calls_total and in a debug line (store_call).

No behaviour changes; tests of follow and tokenhost pass.

--- a/internal/tokenhost/metrics.go
+++ b/internal/tokenhost/metrics.go
@@ -49,7 +49,7 @@
 		targetRequests:   newDesc("target_requests", "Requests in work at a target through this host.", "target", "service"),
 		targetSilent:     newDesc("target_silent", "1 while the target is believed not to answer.", "target", "service"),
 		unreachableZones: newDesc("unreachable_zones", "Zones whose targets this host does not reach."),
-		storeCalls:       newDesc("store_calls_total", "Calls to the store.", "operation"),
+		storeCalls:       newDesc("store_calls_total", "Calls to the store by operation and reason.", "operation", "reason"),
 		storeFailures:    newDesc("store_failures_total", "Calls without a usable answer.", "kind"),
 		viewAge:          newDesc("view_age_seconds", "Time since the store or a feed told this host anything."),
 		feeds:            newDesc("feeds_total", "Feeds of the zone's reader that were applied."),
@@ -140,8 +140,8 @@
 
 func (c *collector) collectStore(out metricWriter) {
 	f := c.host.follower.Stats()
-	for op, n := range f.Calls {
-		out.counter(c.storeCalls, n, string(op))
+	for call, n := range f.Calls {
+		out.counter(c.storeCalls, n, string(call.Op), string(call.Reason))
 	}
 	for kind, n := range f.Failures {
 		out.counter(c.storeFailures, n, kind.String())
--- a/transport/follow/feed.go
+++ b/transport/follow/feed.go
@@ -10,10 +10,11 @@
 )
 
 // waitToRead blocks while another host reads the store for the zone and its
-// feeds arrive in time.
-func (f *Follower) waitToRead(ctx context.Context) {
+// feeds arrive in time. It returns the reason for the next call: own if this
+// host reads the store.
+func (f *Follower) waitToRead(ctx context.Context, own Reason) Reason {
 	if f.cfg.Peers == nil {
-		return
+		return own
 	}
 	timeout := feedTimeout + rand.N(feedTimeoutJitter)
 	for ctx.Err() == nil && !f.cfg.Peers.ReadsStore() {
@@ -21,12 +22,12 @@
 		wait := f.lastUpdate + timeout - f.cfg.Clock()
 		missedFeed := f.missedFeed
 		f.mu.Unlock()
-		if missedFeed {
+		if missedFeed != "" {
 			f.sleep(ctx, rand.N(missedFeedJitter))
-			return
+			return missedFeed
 		}
 		if wait <= 0 {
-			return
+			return ReasonNoFeed
 		}
 		timer := time.NewTimer(wait)
 		select {
@@ -36,6 +37,7 @@
 		}
 		timer.Stop()
 	}
+	return own
 }
 
 // ApplyFeed applies the changes that another host of the zone read from the
@@ -48,8 +50,12 @@
 		return
 	}
 	defer f.wake()
-	if feed.From > f.index || feed.Partial {
-		f.missedFeed = true
+	if feed.Partial {
+		f.missedFeed = ReasonPartialFeed
+		return
+	}
+	if feed.From > f.index {
+		f.missedFeed = ReasonMissedFeed
 		return
 	}
 	f.stats.Feeds++
@@ -73,7 +79,7 @@
 		return
 	}
 	f.lastRefresh = now
-	f.missedFeed = true
+	f.missedFeed = ReasonUnknownToken
 	f.wake()
 }
 
@@ -83,7 +89,7 @@
 	f.index = max(f.index, index)
 	f.completeTo = max(f.completeTo, completeTo)
 	f.lastUpdate = f.cfg.Clock()
-	f.missedFeed = false
+	f.missedFeed = ""
 }
 
 func (f *Follower) wake() {
@@ -99,7 +105,6 @@
 func (f *Follower) applyChanges(after store.Index, start time.Duration, got store.Changes, err error) *gossip.Feed {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.stats.Calls[store.OpChanges]++
 	if err != nil {
 		return nil
 	}
--- a/transport/follow/follow.go
+++ b/transport/follow/follow.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -96,9 +97,10 @@
 	completeTo time.Duration
 	// wakeup signals Run that a feed arrived or that a read is due.
 	wakeup chan struct{}
-	// missedFeed is set when a feed has shown that this host lacks changes, and
-	// by Refresh.
-	missedFeed bool
+	// missedFeed is why this host has to read the store although another host
+	// does: a feed has shown that it lacks changes, or Refresh was called. It is
+	// empty if there is no reason.
+	missedFeed Reason
 	// lastRefresh is when Refresh last caused a read.
 	lastRefresh time.Duration
 	// lastFailure is the time of the last failed call, valid if hasFailed is
@@ -115,8 +117,8 @@
 
 // Stats are the totals and the state of a Follower, for metrics.
 type Stats struct {
-	// Calls counts store calls by operation, Failures failed ones by kind.
-	Calls    map[store.Op]uint64
+	// Calls counts store calls, Failures failed ones by kind.
+	Calls    map[Call]uint64
 	Failures map[store.Kind]uint64
 	// LastUpdate is when the store or a feed last provided an update, by
 	// Config.Clock.
@@ -136,7 +138,7 @@
 	}
 	return &Follower{
 		cfg: cfg, dir: fleet.NewDirectory(), rejected: map[store.Key]string{}, wakeup: make(chan struct{}, 1),
-		stats: Stats{Calls: map[store.Op]uint64{}, Failures: map[store.Kind]uint64{}},
+		stats: Stats{Calls: map[Call]uint64{}, Failures: map[store.Kind]uint64{}},
 	}
 }
 
@@ -170,9 +172,10 @@
 // Run follows the store until ctx is done.
 func (f *Follower) Run(ctx context.Context) {
 	delay := minRetryDelay
+	reason := ReasonStart
 	for ctx.Err() == nil {
 		start := f.cfg.Clock()
-		err := f.read(ctx)
+		err := f.read(ctx, reason)
 		if ctx.Err() != nil {
 			return
 		}
@@ -180,23 +183,25 @@
 		case err == nil:
 			delay = minRetryDelay
 			f.sleep(ctx, start+f.cfg.PollInterval-f.cfg.Clock())
-			f.waitToRead(ctx)
+			reason = f.waitToRead(ctx, ReasonReader)
 		case store.IsKind(err, store.HistoryLost):
 			f.recordFailure(err)
+			reason = ReasonHistoryLost
 		default:
 			f.recordFailure(err)
 			f.sleep(ctx, delay/2+rand.N(delay))
 			delay = min(2*delay, maxRetryDelay)
-			f.waitToRead(ctx)
+			reason = f.waitToRead(ctx, ReasonRetry)
 		}
 	}
 }
 
 // read makes one call to the store, for all entries or for the changes since
 // the last call.
-func (f *Follower) read(ctx context.Context) error {
+func (f *Follower) read(ctx context.Context, reason Reason) error {
 	f.mu.Lock()
 	listed, index := f.listed, f.index
+	f.countCall(reason)
 	f.mu.Unlock()
 	if listed {
 		return f.readChanges(ctx, index)
@@ -210,7 +215,6 @@
 	all, err := f.cfg.Feed.List(ctx, "")
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.stats.Calls[store.OpList]++
 	if err != nil {
 		return err
 	}
@@ -288,14 +292,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.stats
-	s.Calls = make(map[store.Op]uint64, len(f.stats.Calls))
-	for op, n := range f.stats.Calls {
-		s.Calls[op] = n
-	}
-	s.Failures = make(map[store.Kind]uint64, len(f.stats.Failures))
-	for kind, n := range f.stats.Failures {
-		s.Failures[kind] = n
-	}
+	s.Calls = maps.Clone(f.stats.Calls)
+	s.Failures = maps.Clone(f.stats.Failures)
 	s.Rejected = len(f.rejected)
 	s.LastUpdate = f.lastUpdate
 	return s
--- a/transport/follow/follow_test.go
+++ b/transport/follow/follow_test.go
@@ -232,10 +232,10 @@
 func TestReaderFeedsItsZone(t *testing.T) {
 	is := is.New(t)
 	x := newFixture(time.Hour)
-	is.NoErr(x.read(context.Background()))
+	is.NoErr(x.read(context.Background(), ReasonReader))
 	x.feed.put("t/1", "2") // a heartbeat
 	x.feed.put("t/2", "1")
-	is.NoErr(x.read(context.Background()))
+	is.NoErr(x.read(context.Background(), ReasonReader))
 	is.Equal(len(x.peers.sent), 1)
 	f := x.peers.sent[0]
 	is.Equal(f.From, store.Index(2))
@@ -243,7 +243,7 @@
 	is.Equal(len(f.Changes), 1)
 	is.Equal(f.Changes[0].Key, store.Key("t/2"))
 	x.peers.set(false)
-	is.NoErr(x.read(context.Background()))
+	is.NoErr(x.read(context.Background(), ReasonReader))
 	is.Equal(len(x.peers.sent), 1)
 }
 
@@ -252,7 +252,7 @@
 func TestFeedIsAppliedWithoutACall(t *testing.T) {
 	is := is.New(t)
 	x := newFixture(time.Hour)
-	is.NoErr(x.read(context.Background()))
+	is.NoErr(x.read(context.Background(), ReasonReader))
 	c := x.feed.put("t/2", "1")
 	x.ApplyFeed(&gossip.Feed{From: 2, To: 3, Changes: []gossip.Change{{Key: c.Key, Value: c.Value, Revision: c.Revision}}})
 	is.Equal(len(x.lastView().Targets), 2)
@@ -310,10 +310,10 @@
 		return ok
 	}
 	is.True(!ok()) // nothing was read yet
-	is.NoErr(x.read(context.Background()))
+	is.NoErr(x.read(context.Background(), ReasonReader))
 	is.True(!ok()) // entries may have expired just before
 	now += listSettleTime - time.Millisecond
-	is.NoErr(x.read(context.Background()))
+	is.NoErr(x.read(context.Background(), ReasonReader))
 	is.True(!ok())
 	now += time.Millisecond
 	to, complete := x.CompleteTo()
@@ -328,13 +328,13 @@
 	now += maxUpdateAge
 	is.True(!ok()) // the last update is too old
 
-	is.NoErr(x.read(context.Background()))
+	is.NoErr(x.read(context.Background(), ReasonReader))
 	is.True(ok())
 	x.recordFailure(&store.Error{Kind: store.Unavailable})
-	is.NoErr(x.read(context.Background()))
+	is.NoErr(x.read(context.Background(), ReasonReader))
 	is.True(!ok()) // the store may have been down
 	now += failureSettleTime
-	is.NoErr(x.read(context.Background()))
+	is.NoErr(x.read(context.Background(), ReasonReader))
 	is.True(ok())
 }
 
--- a/transport/follow/log_test.go
+++ b/transport/follow/log_test.go
@@ -38,7 +38,7 @@
 		{"unreadable entry", func(x *fixture) { x.feed.put("t/1", "x") }, []string{`event=entry_rejected error=.* key=t/1`}},
 		{"expired target", func(x *fixture) {
 			x.feed.put("t/1", "x")
-			_ = x.read(ctx)
+			_ = x.read(ctx, ReasonReader)
 			time.Sleep(2600 * time.Millisecond) // the time within which it may be written again
 			x.feed.put("t/2", "1")
 		}, []string{`event=target_expired target=1`}},
@@ -61,9 +61,9 @@
 			var out buffer.Buffer
 			x := newFixture(time.Hour)
 			x.cfg.Log = logging.New(&out, zerolog.InfoLevel)
-			is.NoErr(x.read(ctx))
+			is.NoErr(x.read(ctx, ReasonReader))
 			c.act(x)
-			is.NoErr(x.read(ctx))
+			is.NoErr(x.read(ctx, ReasonReader))
 			for _, want := range c.want {
 				found := regexp.MustCompile("(?m)"+want).FindAllString(out.String(), -1)
 				if len(found) != 1 {
