Sum loads at the reader of a large zone and relay its messages

Cause: in a zone of 55 hosts each host sent its loads to eight others a round, so that loads were up to 1.4 s old and a dead host counted for 5.6 s; when a zone's reader failed, every host waited 1.8 s and then read the store itself, again and again; a feed of more than 727 bytes to 55 hosts was left out, and each of them read the store.

Change: in a zone with more than eight other hosts, hosts report to the reader and its standby. The reader sums the loads up and sends one digest a round; it and feeds reach the zone through about sqrt(n) hosts that relay them. Hosts take over from a reader one after the other: the standby after 0.7 s, the others at steps of 0.1 s, those with the fastest links first (new setting link_mbps). A host that missed a feed fetches the changes from the reader, and a reader that the store refuses fetches them from hosts of other zones and passes them on. Small zones work as before. Builds of before get everyone's heartbeat in turn and feeds without relays.

--- /dev/null
+++ b/coordination/peers/loads.go
@@ -0,0 +1,113 @@
+package peers
+
+import (
+	"time"
+
+	"github.com/jujubehaven/jujubehaven/protocol/gossip"
+)
+
+// digestLifetime is how long the loads of a digest are used.
+const digestLifetime = time.Second
+
+// reportWindow is how old the last heartbeat of a live host may be. In a small
+// zone it may come in one of several rounds, if heartbeats are long.
+func (p *Peers) reportWindow() time.Duration {
+	rounds := 1
+	if zone := len(p.zonePeers()); zone <= maxHeartbeatsPerRound {
+		rounds = max((zone+p.heartbeatsPerRound-1)/p.heartbeatsPerRound, 1)
+	}
+	return maxMissedRounds * time.Duration(rounds) * HeartbeatInterval
+}
+
+// reports reports whether a host's last heartbeat is at most window old.
+func (p *Peers) reports(now time.Duration, other *peer, window time.Duration) bool {
+	return other.hasHeartbeat && now < other.lastHeartbeat+window
+}
+
+// LiveHosts returns the number of live hosts of the zone, including this one. In
+// a large zone its reader counts them. A host without a recent digest counts all
+// hosts that it knows, as too large a count only makes shares smaller.
+func (p *Peers) LiveHosts(now time.Duration) int {
+	switch {
+	case !p.large():
+		return p.countReports(now, p.reportWindow())
+	case p.leads && now < p.leadsSince+settleTime:
+		// Not all hosts have reported to this one yet.
+		return max(p.countReports(now, countWindow), p.digest.Hosts)
+	case p.leads:
+		return p.countReports(now, countWindow)
+	case p.digest.Hosts > 0 && now < p.digestAt+countWindow:
+		return p.digest.Hosts
+	}
+	return 1 + len(p.zonePeers())
+}
+
+// countReports returns the number of hosts of the zone whose last heartbeat is
+// at most window old, including this one.
+func (p *Peers) countReports(now, window time.Duration) int {
+	n := 1
+	for _, other := range p.zonePeers() {
+		if p.reports(now, other, window) {
+			n++
+		}
+	}
+	return n
+}
+
+// Settled reports whether the host has had time to receive the heartbeats of
+// the others.
+func (p *Peers) Settled(now time.Duration) bool { return now >= settleTime }
+
+// Loads returns the loads that the other hosts of the zone place on targets, by
+// token, summed over the hosts; FastPercent is the maximum.
+func (p *Peers) Loads(now time.Duration) map[uint32]gossip.TargetLoad {
+	if p.large() && !p.leads {
+		return p.digestLoads(now)
+	}
+	return p.sumReports(now)
+}
+
+// sumReports sums the loads that other hosts of the zone reported to this one.
+func (p *Peers) sumReports(now time.Duration) map[uint32]gossip.TargetLoad {
+	sum := make(map[uint32]gossip.TargetLoad)
+	window := p.reportWindow()
+	for _, other := range p.zonePeers() {
+		if p.reports(now, other, window) {
+			addLoads(sum, other.loads)
+		}
+	}
+	return sum
+}
+
+func addLoads(sum map[uint32]gossip.TargetLoad, loads []gossip.TargetLoad) {
+	for _, l := range loads {
+		total := sum[l.Token]
+		total.Token = l.Token
+		total.Open += l.Open
+		total.Busy += l.Busy
+		total.Silent += l.Silent
+		total.FastPercent = max(total.FastPercent, l.FastPercent)
+		sum[l.Token] = total
+	}
+}
+
+// digestLoads returns the loads of the last digest without this host's own part,
+// or none if it is too old.
+func (p *Peers) digestLoads(now time.Duration) map[uint32]gossip.TargetLoad {
+	sum := make(map[uint32]gossip.TargetLoad)
+	if now >= p.digestAt+digestLifetime {
+		return sum
+	}
+	addLoads(sum, p.digest.Loads)
+	for _, own := range p.ownLoads {
+		total, ok := sum[own.Token]
+		if !ok {
+			continue
+		}
+		total.Open = max(total.Open-own.Open, 0)
+		total.Busy = max(total.Busy-own.Busy, 0)
+		total.Silent = max(total.Silent-own.Silent, 0)
+		sum[own.Token] = total
+	}
+	return sum
+}
--- a/coordination/peers/peers.go
+++ b/coordination/peers/peers.go
@@ -1,6 +1,12 @@
-// Package peers tracks the other hosts that steer by token and elects the host
-// of an availability zone that reads the store for the others. It does no I/O
-// and reads no clock: callers pass the time since the host's start.
+// Package peers tracks the other hosts that steer by token. It elects the reader
+// of an availability zone, which is the host that reads the store for the
+// others, and decides who sends which message to whom. It does no I/O and reads
+// no clock: callers pass the time since the host's start.
+//
+// In a small zone every host sends its heartbeat with its loads to every other
+// one. In a large zone that would take more bytes the more hosts there are, so
+// hosts report to the reader and its standby only. The reader sums the loads up
+// and sends all hosts one digest, through hosts that relay it.
 package peers
 
 import (
@@ -9,8 +15,6 @@
 	"slices"
 	"time"
 
-	"github.com/zeebo/xxh3"
-
 	"github.com/jujubehaven/jujubehaven/protocol/gossip"
 )
 
@@ -18,7 +22,8 @@
 	// HeartbeatInterval is the time between two rounds of heartbeats.
 	HeartbeatInterval = 200 * time.Millisecond
 	// maxHeartbeatsPerRound bounds the heartbeats of a round, so that the bytes
-	// per second do not grow with the number of hosts in a zone.
+	// per second do not grow with the number of hosts in a zone. A zone with more
+	// other hosts is a large zone.
 	maxHeartbeatsPerRound = 8
 	// maxRoundBytes bounds the bytes of a round: 20 KB per second.
 	maxRoundBytes = 4 << 10
@@ -57,19 +62,42 @@
 	storeAnswers                              bool
 	leaving                                   bool
 	loads                                     []gossip.TargetLoad
+	// lastDigest is when the host last sent a digest or a store feed, which shows
+	// that it is a reader.
+	lastDigest time.Duration
+	hasDigest  bool
 }
 
 // Peers is one host's list of the other hosts. It is not safe for concurrent
 // use.
 type Peers struct {
-	self     gossip.Host
-	peers    map[string]*peer
-	nextPeer int
+	self  gossip.Host
+	peers map[string]*peer
+	// zone is the result of zonePeers while zoneValid is set.
+	zone      []*peer
+	zoneValid bool
+	nextPeer  int
 	// heartbeatsPerRound is the limit of the last round; the other hosts of the
 	// zone send about as many.
 	heartbeatsPerRound int
 	lastHello          time.Duration
 	helloSent          bool
+	// round counts the rounds, lastRound is when the last one was.
+	round     int
+	lastRound time.Duration
+	// ownLoads is this host's last report.
+	ownLoads []gossip.TargetLoad
+	// digest is the last digest of the reader, received at digestAt.
+	digest   gossip.Digest
+	digestAt time.Duration
+	// readerSeen is when a host last acted as the reader of this host's zone.
+	readerSeen time.Duration
+	// leads is set since leadsSince while this host is the reader of a large zone.
+	leads      bool
+	leadsSince time.Duration
+	// unableSince is when the reader was first seen without the store, 0 while
+	// its store answers.
+	unableSince time.Duration
 	// zoneAnswers holds when a host of each zone last replied to a hello.
 	zoneAnswers map[string]time.Duration
 }
@@ -97,7 +125,7 @@
 			p.recordHost(now, h)
 		}
 	}
-	if m.Kind != gossip.KindHeartbeat && m.Kind != gossip.KindFeed {
+	if m.Kind != gossip.KindHeartbeat && m.Kind != gossip.KindFeed && m.Kind != gossip.KindDigest {
 		return
 	}
 	from.lastHeartbeat = now
@@ -107,6 +135,9 @@
 	if m.Kind == gossip.KindHeartbeat {
 		from.loads = m.Loads
 	}
+	if m.From.Zone == p.self.Zone {
+		p.receiveFromReader(now, m, from)
+	}
 }
 
 // recordHost adds a host or updates its last mention. It returns nil if a later
@@ -117,8 +148,11 @@
 	case known == nil || h.Started > known.host.Started:
 		known = &peer{host: h}
 		p.peers[h.Name] = known
+		p.zoneValid = false
 	case h.Started < known.host.Started:
 		return nil
+	case h.Protocol > known.host.Protocol:
+		known.host = h // a build of version 0 named it without what it does not know
 	}
 	known.lastMentioned = now
 	return known
@@ -200,26 +234,6 @@
 	return true
 }
 
-// NextRound returns the hosts of the zone that get a heartbeat of heartbeatBytes
-// bytes in this round, and removes hosts that no message has named for
-// peerRetention.
-func (p *Peers) NextRound(now time.Duration, heartbeatBytes int) []gossip.Host {
-	p.heartbeatsPerRound = min(max(maxRoundBytes/max(heartbeatBytes, 1), 1), maxHeartbeatsPerRound)
-	zone := p.zonePeers()
-	for name, other := range p.peers {
-		if now >= other.lastMentioned+peerRetention {
-			delete(p.peers, name)
-		}
-	}
-	n := min(len(zone), p.heartbeatsPerRound)
-	round := make([]gossip.Host, 0, n)
-	for range n {
-		p.nextPeer = (p.nextPeer + 1) % len(zone)
-		round = append(round, zone[p.nextPeer].host)
-	}
-	return round
-}
-
 // ZoneHosts returns the other hosts of the zone, whether live or only named by
 // a message.
 func (p *Peers) ZoneHosts() []gossip.Host {
@@ -231,71 +245,12 @@
 	return list
 }
 
+// zonePeers returns the other hosts of the zone, ordered by name. The result
+// must not be changed.
 func (p *Peers) zonePeers() []*peer {
-	list := p.sorted()
-	return slices.DeleteFunc(list, func(other *peer) bool { return other.host.Zone != p.self.Zone })
-}
-
-// live reports whether a host's last heartbeat is recent. zoneHosts is the
-// number of other hosts of the zone.
-func (p *Peers) live(now time.Duration, other *peer, zoneHosts int) bool {
-	rounds := (zoneHosts + p.heartbeatsPerRound - 1) / p.heartbeatsPerRound
-	return other.hasHeartbeat && now < other.lastHeartbeat+maxMissedRounds*time.Duration(max(rounds, 1))*HeartbeatInterval
-}
-
-// LiveHosts returns the number of live hosts of the zone, including this one.
-func (p *Peers) LiveHosts(now time.Duration) int {
-	zone := p.zonePeers()
-	n := 1
-	for _, other := range zone {
-		if p.live(now, other, len(zone)) {
-			n++
-		}
-	}
-	return n
-}
-
-// Settled reports whether the host has had time to receive the heartbeats of
-// the others.
-func (p *Peers) Settled(now time.Duration) bool { return now >= settleTime }
-
-// ReadsStore reports whether this host reads the store for its zone: it is the
-// first, in an order that is the same on all hosts, of the live hosts that the
-// store answers and that are not leaving. A host that sees no other such host
-// reads the store itself.
-func (p *Peers) ReadsStore(now time.Duration, storeAnswers, leaving bool) bool {
-	zone := p.zonePeers()
-	own := readerRank(p.self.Name)
-	for _, other := range zone {
-		if !p.live(now, other, len(zone)) || !other.storeAnswers || other.leaving {
-			continue
-		}
-		if !storeAnswers || leaving || readerRank(other.host.Name) < own {
-			return false
-		}
-	}
-	return true
-}
-
-func readerRank(name string) uint64 { return xxh3.HashString("reader/" + name) }
-
-// Loads returns the loads on targets, by token, that the live hosts of the zone
-// reported, summed over the hosts; FastPercent is the maximum.
-func (p *Peers) Loads(now time.Duration) map[uint32]gossip.TargetLoad {
-	zone := p.zonePeers()
-	sum := make(map[uint32]gossip.TargetLoad)
-	for _, other := range zone {
-		if !p.live(now, other, len(zone)) {
-			continue
-		}
-		for _, l := range other.loads {
-			total := sum[l.Token]
-			total.Open += l.Open
-			total.Busy += l.Busy
-			total.Silent += l.Silent
-			total.FastPercent = max(total.FastPercent, l.FastPercent)
-			sum[l.Token] = total
-		}
+	if !p.zoneValid {
+		p.zone = slices.DeleteFunc(p.sorted(), func(other *peer) bool { return other.host.Zone != p.self.Zone })
+		p.zoneValid = true
 	}
-	return sum
+	return p.zone
 }
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -121,6 +121,10 @@
 			Name: "mtu", Default: "1500", Usage: "bytes of the largest outer IP packet that the network carries",
 			set: single(func(s *Settings, v string) error { return setInt(&s.MTU, v, tunnel.MinMTU, tunnel.MaxMTU) }),
 		},
+		{
+			Name: "link_mbps", Default: "0", Usage: "bandwidth of this host's network link in Mbit/s, 0 if unknown",
+			set: single(func(s *Settings, v string) error { return setMbps(&s.LinkMbps, v) }),
+		},
 		{
 			Name: "log_level", Default: "info", Usage: "debug, info, warn or error",
 			set: single(func(s *Settings, v string) error { return setLevel(&s.LogLevel, v) }),
--- a/internal/settings/restart.go
+++ b/internal/settings/restart.go
@@ -27,6 +27,7 @@
 		{"plaintext", old.TLS.Plaintext, changed.TLS.Plaintext},
 		{"workers", old.Workers, changed.Workers},
 		{"mtu", old.MTU, changed.MTU},
+		{"link_mbps", old.LinkMbps, changed.LinkMbps},
 		{"limits.max_message", old.Limits.MaxMessage, changed.Limits.MaxMessage},
 		{"limits.queue_batches", old.Limits.QueueBatches, changed.Limits.QueueBatches},
 		{"limits.read_buffer", old.Limits.ReadBuffer, changed.Limits.ReadBuffer},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -52,7 +52,9 @@
 	// Workers is the number of workers that handle packets.
 	Workers int
 	// MTU is the largest outer IP packet in bytes that the network carries.
-	MTU      int
+	MTU int
+	// LinkMbps is the bandwidth of the host's network link in Mbit/s, 0 if unknown.
+	LinkMbps int
 	LogLevel zerolog.Level
 	Limits   Limits
 }
@@ -124,6 +126,7 @@
 	minReadBufferBytes    = 1 << 16
 	maxReadBufferBytes    = 1 << 30
 	maxICMPErrors         = 1_000_000
+	maxLinkMbps           = 1_000_000
 	maxNameBytes          = 63
 )
 
--- a/internal/settings/values.go
+++ b/internal/settings/values.go
@@ -120,6 +120,19 @@
 	return nil
 }
 
+// setMbps parses a bandwidth in Mbit/s, which may have decimals that are cut off.
+func setMbps(to *int, value string) error {
+	mbps, err := strconv.ParseFloat(value, 64)
+	if err != nil {
+		return errors.Newf("%q is not a number", value)
+	}
+	if !(mbps >= 0 && mbps <= maxLinkMbps) { // not a number is out of range, too
+		return errors.Newf("%s is out of range, want 0 to %d", value, maxLinkMbps)
+	}
+	*to = int(mbps)
+	return nil
+}
+
 func setDuration(to *time.Duration, value string, lowest, highest time.Duration) error {
 	d, err := time.ParseDuration(value)
 	if err != nil {
--- a/internal/tokenhost/local.go
+++ b/internal/tokenhost/local.go
@@ -1,10 +1,9 @@
 package tokenhost
 
 import (
-	"cmp"
-	"slices"
-
+	"github.com/jujubehaven/jujubehaven/coordination/peers"
 	"github.com/jujubehaven/jujubehaven/coordination/steering"
+	"github.com/jujubehaven/jujubehaven/coordination/store"
 	wire "github.com/jujubehaven/jujubehaven/protocol/gossip"
 )
 
@@ -23,11 +22,16 @@
 // HandleFeed implements gossip.Local.
 func (l local) HandleFeed(f *wire.Feed) { l.h.follower.ApplyFeed(f) }
 
+// ChangesSince implements gossip.Local.
+func (l local) ChangesSince(after store.Index) *wire.Feed { return l.h.follower.ChangesSince(after) }
+
+// HandleReader implements gossip.Local.
+func (l local) HandleReader() { l.h.follower.Wake() }
+
 // HandleLoads implements gossip.Local.
 func (l local) HandleLoads(p *steering.PeerLoads) { l.h.packets.SetPeerLoads(p) }
 
-// maxReportedLoads limits the targets in one heartbeat. Silent targets come
-// first, then those that answer too fast, then the most loaded.
+// maxReportedLoads limits the targets in one heartbeat.
 const maxReportedLoads = 64
 
 const percent = 100
@@ -42,8 +46,6 @@
 			})
 		}
 	}
-	slices.SortFunc(loads, func(a, b wire.TargetLoad) int {
-		return cmp.Or(cmp.Compare(b.Silent, a.Silent), cmp.Compare(b.FastPercent, a.FastPercent), cmp.Compare(b.Busy, a.Busy), cmp.Compare(b.Open, a.Open))
-	})
+	peers.SortLoads(loads)
 	return loads[:min(len(loads), maxReportedLoads)]
 }
--- a/protocol/gossip/gossip.go
+++ b/protocol/gossip/gossip.go
@@ -43,8 +43,23 @@
 	KindHelloReply Kind = "known"
 	// KindFeed forwards changes that the sender received from the store.
 	KindFeed Kind = "feed"
+	// KindDigest is the heartbeat of the reader of a large availability zone. It
+	// carries the loads of all hosts of the zone.
+	KindDigest Kind = "digest"
+	// KindFetch requests the changes of the store after an index. KindFetchReply
+	// is the reply, which carries a feed.
+	KindFetch      Kind = "fetch"
+	KindFetchReply Kind = "fetched"
 )
 
+// Protocol is the version of the messages that this build exchanges. Builds of
+// version 0 know neither digests, relayed messages nor fetches: they expect the
+// heartbeats and feeds of all hosts of their zone directly.
+const Protocol = 1
+
+// maxRelays bounds the hosts that a received message may ask to be relayed to.
+const maxRelays = 64
+
 // Host is a host as it advertises itself.
 type Host struct {
 	Name string         `cbor:"1,keyasint"`
@@ -53,6 +68,11 @@
 	// Started is the start time of the process, which distinguishes incarnations
 	// of a host: nanoseconds since the Unix epoch by the host's clock.
 	Started int64 `cbor:"4,keyasint"`
+	// Protocol is the version of the messages that the host exchanges.
+	Protocol int `cbor:"5,keyasint,omitempty"`
+	// LinkMbps is the bandwidth of the host's network link in Mbit/s, 0 if
+	// unknown.
+	LinkMbps int `cbor:"6,keyasint,omitempty"`
 }
 
 // TargetLoad is the load that a host places on one target.
@@ -92,6 +112,18 @@
 	Deleted  bool           `cbor:"4,keyasint,omitempty"`
 }
 
+// Digest is what the reader of a large zone tells its hosts.
+type Digest struct {
+	// Hosts is the number of live hosts of the zone, the sender included.
+	Hosts int `cbor:"1,keyasint"`
+	// Standby is the address of the host that takes over from the sender; it is
+	// not valid if there is none.
+	Standby netip.AddrPort `cbor:"2,keyasint,omitempty"`
+	// Loads holds the loads on the targets, summed over the hosts; FastPercent is
+	// the maximum.
+	Loads []TargetLoad `cbor:"3,keyasint,omitempty"`
+}
+
 // Message is one datagram.
 type Message struct {
 	Kind Kind `cbor:"1,keyasint"`
@@ -100,10 +132,16 @@
 	StoreAnswers bool `cbor:"3,keyasint,omitempty"`
 	// Leaving is set during a planned shutdown of the sender.
 	Leaving bool `cbor:"4,keyasint,omitempty"`
-	// Loads is part of a heartbeat, KnownHosts of a hello reply and Feed of a feed.
+	// Loads is part of a heartbeat, KnownHosts of a hello reply, Feed of a feed,
+	// Digest of a digest and After of a fetch.
 	Loads      []TargetLoad `cbor:"5,keyasint,omitempty"`
 	KnownHosts []Host       `cbor:"6,keyasint,omitempty"`
 	Feed       *Feed        `cbor:"7,keyasint,omitempty"`
+	Digest     *Digest      `cbor:"8,keyasint,omitempty"`
+	After      store.Index  `cbor:"9,keyasint,omitempty"`
+	// Relay holds the hosts that the receiver sends the message on to, without
+	// this list.
+	Relay []netip.AddrPort `cbor:"10,keyasint,omitempty"`
 }
 
 // Encode returns the datagram of a message. It fails if the datagram exceeds
@@ -158,5 +196,8 @@
 	if m.From.Name == "" || m.From.Zone == "" || !m.From.Addr.IsValid() {
 		return Message{}, errors.New("gossip: name, zone or address of the sender is missing")
 	}
+	if len(m.Relay) > maxRelays {
+		return Message{}, errors.Newf("gossip: %d hosts to relay to exceed the limit of %d", len(m.Relay), maxRelays)
+	}
 	return m, nil
 }
--- a/transport/follow/feed.go
+++ b/transport/follow/feed.go
@@ -18,11 +18,15 @@
 	}
 	timeout := feedTimeout + rand.N(feedTimeoutJitter)
 	for ctx.Err() == nil && !f.cfg.Peers.ReadsStore() {
+		feedWait := f.cfg.Peers.FeedWait()
 		f.mu.Lock()
-		wait := f.lastUpdate + timeout - f.cfg.Clock()
+		wait := f.lastUpdate + timeout + feedWait - f.cfg.Clock()
 		missedFeed := f.missedFeed
 		f.mu.Unlock()
 		if missedFeed != "" {
+			if f.fetchMissed(ctx, missedFeed) {
+				continue
+			}
 			f.sleep(ctx, rand.N(missedFeedJitter))
 			return missedFeed
 		}
@@ -40,23 +44,87 @@
 	return own
 }
 
-// ApplyFeed applies the changes that another host of the zone read from the
-// store. A feed that is partial or leaves a gap makes this host read the store
-// itself.
+// fetch requests the changes that this host lacks from another one. It reports
+// false if there is no other host.
+func (f *Follower) fetch() bool {
+	if f.cfg.Peers == nil {
+		return false
+	}
+	f.mu.Lock()
+	listed, index := f.listed, f.index
+	f.mu.Unlock()
+	return listed && f.cfg.Peers.Fetch(index)
+}
+
+// fetchMissed requests the changes of a missed feed from another host and waits
+// for them. It reports whether they have arrived.
+func (f *Follower) fetchMissed(ctx context.Context, reason Reason) bool {
+	if reason != ReasonMissedFeed || !f.fetch() {
+		return false
+	}
+	deadline := f.cfg.Clock() + fetchTimeout
+	for ctx.Err() == nil {
+		f.mu.Lock()
+		arrived := f.missedFeed == ""
+		f.mu.Unlock()
+		wait := deadline - f.cfg.Clock()
+		if arrived || wait <= 0 {
+			return arrived
+		}
+		timer := time.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case <-f.wakeup:
+		}
+		timer.Stop()
+	}
+	return false
+}
+
+// ChangesSince returns the changes after an index, or nil if this host doesn't
+// know all of them.
+func (f *Follower) ChangesSince(after store.Index) *gossip.Feed {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.listed || after > f.index {
+		return nil
+	}
+	changes, ok := f.recent.since(after)
+	if !ok {
+		return nil
+	}
+	return &gossip.Feed{From: after, To: f.index, Changes: changes}
+}
+
+// Wake makes a host that waits for feeds check whether it reads the store now.
+func (f *Follower) Wake() { f.wake() }
+
+// ApplyFeed applies the changes that another host read from the store, and
+// passes them on if this host reads the store for its zone but got them from
+// another zone. A feed that is partial or leaves a gap makes this host request
+// the changes from another host or read the store itself.
 func (f *Follower) ApplyFeed(feed *gossip.Feed) {
+	if f.applyFeed(feed) {
+		f.passOn(feed, "")
+	}
+}
+
+// applyFeed reports whether the feed brought this host up to date.
+func (f *Follower) applyFeed(feed *gossip.Feed) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !f.listed || feed.To < f.index {
-		return
+		return false
 	}
 	defer f.wake()
 	if feed.Partial {
 		f.missedFeed = ReasonPartialFeed
-		return
+		return false
 	}
 	if feed.From > f.index {
 		f.missedFeed = ReasonMissedFeed
-		return
+		return false
 	}
 	f.stats.Feeds++
 	for _, c := range feed.Changes {
@@ -64,8 +132,10 @@
 			f.apply(store.Change{Entry: store.Entry{Key: c.Key, Value: c.Value, Revision: c.Revision}, Deleted: c.Deleted})
 		}
 	}
+	f.recent.add(f.index, feed.To, feed.Changes)
 	f.advance(feed.To, f.cfg.Clock()-maxFeedDelay)
 	f.publish()
+	return true
 }
 
 // Refresh makes this host read the store soon, at most once per
@@ -118,6 +188,7 @@
 			feed.Changes = append(feed.Changes, gossip.Change{Key: c.Key, Value: c.Value, Revision: c.Revision, Deleted: c.Deleted})
 		}
 	}
+	f.recent.add(after, got.Index, feed.Changes)
 	f.advance(got.Index, start)
 	f.publish()
 	return feed
--- a/transport/follow/follow.go
+++ b/transport/follow/follow.go
@@ -35,6 +35,9 @@
 	// host read the store after a single lost feed.
 	feedTimeout       = 1500 * time.Millisecond
 	feedTimeoutJitter = 300 * time.Millisecond
+	// fetchTimeout is how long a host that lacks changes waits for another host
+	// to send them before it reads the store.
+	fetchTimeout = 300 * time.Millisecond
 	// A host may conclude that an entry missing from its view doesn't exist only
 	// if its last update is younger than maxUpdateAge, its last failed call is
 	// at least failureSettleTime ago and its last full list at least listSettleTime
@@ -76,6 +79,13 @@
 	ReadsStore() bool
 	// SendFeed sends the changes read from the store to the other hosts.
 	SendFeed(f *gossip.Feed)
+	// Fetch requests the changes after an index from another host, without
+	// waiting for the reply, which ApplyFeed receives. It reports false if there
+	// is no such host.
+	Fetch(after store.Index) bool
+	// FeedWait returns how much longer than the first host of the zone this one
+	// waits for a missing feed before it reads the store itself.
+	FeedWait() time.Duration
 }
 
 // Follower reads the store and keeps a directory of it. Its methods are safe
@@ -110,6 +120,8 @@
 	lastList    time.Duration
 	// storeLost is set while the store doesn't respond to this host.
 	storeLost bool
+	// recent holds the last changes, for other hosts that lack them.
+	recent changeLog
 	// rejected maps each entry that can't be decoded to its error, so that it is
 	// logged once.
 	rejected map[store.Key]string
@@ -189,6 +201,7 @@
 			reason = ReasonHistoryLost
 		default:
 			f.recordFailure(err)
+			f.fetch()
 			f.sleep(ctx, delay/2+rand.N(delay))
 			delay = min(2*delay, maxRetryDelay)
 			reason = f.waitToRead(ctx, ReasonRetry)
@@ -204,7 +217,7 @@
 	f.countCall(reason)
 	f.mu.Unlock()
 	if listed {
-		return f.readChanges(ctx, index)
+		return f.readChanges(ctx, index, reason)
 	}
 	return f.list(ctx)
 }
@@ -222,6 +235,7 @@
 	f.applyOperatorEntries(all.Entries)
 	f.applyTargetEntries(all.Entries)
 	f.index, f.listed, f.lastList = 0, true, f.cfg.Clock()
+	f.recent.reset(all.Index)
 	f.advance(all.Index, start)
 	f.publish()
 	f.cfg.Log.Info().Str("event", "store_listed").Int("entries", len(all.Entries)).Uint64("revision", uint64(all.Index)).Send()
@@ -230,14 +244,22 @@
 
 // readChanges reads the changes after an index and sends them to the other
 // hosts of the zone if this host is their reader.
-func (f *Follower) readChanges(ctx context.Context, after store.Index) error {
+func (f *Follower) readChanges(ctx context.Context, after store.Index, reason Reason) error {
 	start := f.cfg.Clock()
 	got, err := f.cfg.Feed.Changes(ctx, "", after, watchWait)
-	feed := f.applyChanges(after, start, got, err)
-	if feed != nil && f.cfg.Peers != nil && f.cfg.Peers.ReadsStore() {
+	f.passOn(f.applyChanges(after, start, got, err), reason)
+	return err
+}
+
+// passOn sends changes to the other hosts of the zone if this host reads the
+// store for them, or does so now because no feed arrived.
+func (f *Follower) passOn(feed *gossip.Feed, reason Reason) {
+	if feed == nil || f.cfg.Peers == nil {
+		return
+	}
+	if reason == ReasonNoFeed || f.cfg.Peers.ReadsStore() {
 		f.cfg.Peers.SendFeed(feed)
 	}
-	return err
 }
 
 // recordSuccess records a successful call.
--- a/transport/follow/follow_test.go
+++ b/transport/follow/follow_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net/netip"
 	"strings"
 	"sync"
@@ -98,6 +99,10 @@
 	mu    sync.Mutex
 	reads bool
 	sent  []gossip.Feed
+	// fetched answers the calls of Fetch, which fetches counts; without it there
+	// is no host to fetch from.
+	fetched func(after store.Index)
+	fetches int
 }
 
 func (p *stubPeers) ReadsStore() bool {
@@ -112,6 +117,21 @@
 	p.sent = append(p.sent, *f)
 }
 
+// Fetch implements Peers: it counts the calls and lets fetched answer them.
+func (p *stubPeers) Fetch(after store.Index) bool {
+	p.mu.Lock()
+	p.fetches++
+	fetched := p.fetched
+	p.mu.Unlock()
+	if fetched == nil {
+		return false
+	}
+	go fetched(after)
+	return true
+}
+
+func (p *stubPeers) FeedWait() time.Duration { return 0 }
+
 func (p *stubPeers) set(reads bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -357,3 +377,108 @@
 	_, watches := x.feed.calls()
 	is.Equal(watches, 1)
 }
+
+// Guards against a call of every host of a zone for each feed that is lost:
+// another host has the changes.
+func TestMissedFeedIsFetchedFromAHost(t *testing.T) {
+	is := is.New(t)
+	x := newFixture(time.Millisecond)
+	reader := newFixture(time.Hour)
+	reader.feed = x.feed
+	reader.cfg.Feed = x.feed
+	is.NoErr(reader.read(context.Background(), ReasonReader))
+	x.peers.set(false)
+	x.peers.fetched = func(after store.Index) { x.ApplyFeed(reader.ChangesSince(after)) }
+	x.start(t)
+	eventually(t, "first view", func() bool { return x.lastView() != nil })
+	x.feed.put("t/2", "1")
+	x.feed.put("t/3", "1")
+	is.NoErr(reader.read(context.Background(), ReasonReader))
+	x.ApplyFeed(&gossip.Feed{From: 3, To: 4})
+	eventually(t, "changed view", func() bool { return len(x.lastView().Targets) == 3 })
+	is.Equal(x.Stats().Calls[Call{store.OpChanges, ReasonMissedFeed}], uint64(0))
+}
+
+// A host whose request for missed changes is not answered reads the store.
+func TestUnansweredFetchLeadsToStoreRead(t *testing.T) {
+	is := is.New(t)
+	x := newFixture(time.Millisecond)
+	x.peers.set(false)
+	x.peers.fetched = func(store.Index) {}
+	x.start(t)
+	eventually(t, "first view", func() bool { return x.lastView() != nil })
+	x.feed.put("t/2", "1")
+	x.ApplyFeed(&gossip.Feed{From: 3, To: 4})
+	eventually(t, "changed view", func() bool { return len(x.lastView().Targets) == 2 })
+	is.Equal(x.Stats().Calls[Call{store.OpChanges, ReasonMissedFeed}], uint64(1))
+}
+
+// Guards against a zone that learns nothing because the store refuses all of its
+// hosts: its reader fetches the changes from hosts of other zones and passes
+// them on.
+func TestRefusedReaderFetchesFromOtherZones(t *testing.T) {
+	is := is.New(t)
+	x := newFixture(time.Millisecond)
+	x.start(t)
+	eventually(t, "first view", func() bool { return x.lastView() != nil })
+	x.feed.fail(&store.Error{Op: store.OpChanges, Kind: store.Overloaded})
+	x.peers.mu.Lock()
+	x.peers.fetched = func(after store.Index) {
+		x.ApplyFeed(&gossip.Feed{From: after, To: 3, Changes: []gossip.Change{{Key: "t/2", Value: []byte("1"), Revision: 3}}})
+	}
+	x.peers.mu.Unlock()
+	eventually(t, "changed view", func() bool { return len(x.lastView().Targets) == 2 })
+	eventually(t, "the zone's feed", func() bool {
+		x.peers.mu.Lock()
+		defer x.peers.mu.Unlock()
+		for _, f := range x.peers.sent {
+			if f.To == 3 && len(f.Changes) == 1 {
+				return true
+			}
+		}
+		return false
+	})
+	is.True(!x.StoreAnswers())
+}
+
+// The log of recent changes has no gaps and stays within its bound: for each
+// index it gives all changes after it, or none.
+func TestChangeLog(t *testing.T) {
+	is := is.New(t)
+	rng := rand.New(rand.NewPCG(1, 1))
+	var all []gossip.Change
+	var log changeLog
+	var index store.Index
+	for range 2000 {
+		from := index
+		var changes []gossip.Change
+		for range rng.IntN(4) {
+			index++
+			c := gossip.Change{Key: "t/1", Value: make([]byte, rng.IntN(2000)), Revision: store.Revision(index)}
+			changes, all = append(changes, c), append(all, c)
+		}
+		index += store.Index(rng.IntN(3)) // heartbeats, which the log leaves out
+		overlap := min(from, store.Index(rng.IntN(2)))
+		log.add(from-overlap, index, changes)
+		is.True(log.bytes <= maxLogBytes)
+		after := index - min(index, store.Index(rng.IntN(700)))
+		got, ok := log.since(after)
+		if !ok {
+			continue
+		}
+		var want []gossip.Change
+		for _, c := range all {
+			if store.Index(c.Revision) > after {
+				want = append(want, c)
+			}
+		}
+		is.Equal(len(got), len(want))
+		for i := range got {
+			is.Equal(got[i].Revision, want[i].Revision)
+		}
+	}
+	is.True(log.from > 0) // the bound was reached
+	log.add(index+10, index+11, nil)
+	_, ok := log.since(index)
+	is.True(!ok) // a gap
+}
--- a/transport/gossip/gossip.go
+++ b/transport/gossip/gossip.go
@@ -16,14 +16,19 @@
 
 	"github.com/jujubehaven/jujubehaven/coordination/peers"
 	"github.com/jujubehaven/jujubehaven/coordination/steering"
+	"github.com/jujubehaven/jujubehaven/coordination/store"
 	"github.com/jujubehaven/jujubehaven/protocol/gossip"
 )
 
 const percent = 100
 
-// maxFeedBytes bounds the bytes of one feed summed over all receivers. It takes
-// about 30 ms on a 10 Mbit/s link, which also carries callers' packets.
-const maxFeedBytes = 40_000
+// maxFeedTime bounds how long one feed, summed over all receivers, occupies the
+// host's link, which also carries callers' packets. assumedLinkMbps is used if
+// the bandwidth is not known.
+const (
+	maxFeedTime     = 30 * time.Millisecond
+	assumedLinkMbps = 10
+)
 
 // Local connects an Exchange to the rest of its host. Its methods are called
 // from several goroutines.
@@ -36,9 +41,14 @@
 	UnreachableZones() []string
 	// Loads returns this host's load on each target.
 	Loads() []gossip.TargetLoad
-	// HandleFeed receives the changes that another host of the zone read from the
-	// store.
+	// HandleFeed receives changes that another host read from the store.
 	HandleFeed(f *gossip.Feed)
+	// ChangesSince returns the changes of the store after an index, nil if this
+	// host doesn't know all of them.
+	ChangesSince(after store.Index) *gossip.Feed
+	// HandleReader is called when this host begins or ends to read the store for
+	// its zone.
+	HandleReader()
 	// HandleLoads receives the summed loads of the zone's other hosts, once per
 	// round of heartbeats.
 	HandleLoads(l *steering.PeerLoads)
@@ -133,12 +143,30 @@
 		known = e.peers.KnownHosts(now, m.From.Zone)
 	}
 	e.mu.Unlock()
+	if len(m.Relay) > 0 && m.From.Zone == e.cfg.Self.Zone {
+		relayed := *m
+		relayed.Relay = nil
+		e.send(&relayed, m.Relay...)
+	}
 	switch {
 	case m.Kind == gossip.KindHello:
 		e.send(&gossip.Message{Kind: gossip.KindHelloReply, From: e.cfg.Self, KnownHosts: known}, from)
-	case m.Kind == gossip.KindFeed && m.Feed != nil && m.From.Zone == e.cfg.Self.Zone:
+	case m.Feed != nil && (m.Kind == gossip.KindFetchReply || (m.Kind == gossip.KindFeed && m.From.Zone == e.cfg.Self.Zone)):
 		e.cfg.Local.HandleFeed(m.Feed)
+	case m.Kind == gossip.KindFetch:
+		e.replyToFetch(m.After, from)
+	}
+}
+
+// replyToFetch sends the changes after an index, if this host knows them.
+func (e *Exchange) replyToFetch(after store.Index, to netip.AddrPort) {
+	feed := e.cfg.Local.ChangesSince(after)
+	if feed == nil {
+		return
 	}
+	e.send(&gossip.Message{
+		Kind: gossip.KindFetchReply, From: e.cfg.Self, StoreAnswers: e.cfg.Local.StoreAnswers(), Leaving: e.cfg.Local.Leaving(), Feed: feed,
+	}, to)
 }
 
 // Run sends heartbeats, and hellos to the seeds, until ctx is done.
@@ -160,8 +188,9 @@
 // Local.
 func (e *Exchange) runRound() {
 	answers, leaving := e.cfg.Local.StoreAnswers(), e.cfg.Local.Leaving()
+	own := e.cfg.Local.Loads()
 	heartbeat, err := gossip.Encode(&gossip.Message{
-		Kind: gossip.KindHeartbeat, From: e.cfg.Self, StoreAnswers: answers, Leaving: leaving, Loads: e.cfg.Local.Loads(),
+		Kind: gossip.KindHeartbeat, From: e.cfg.Self, StoreAnswers: answers, Leaving: leaving, Loads: own,
 	})
 	if err != nil {
 		e.cfg.Log.Error().Str("event", "gossip_failed").Str("kind", string(gossip.KindHeartbeat)).Err(err).Send()
@@ -169,13 +198,14 @@
 	e.mu.Lock()
 	now := e.cfg.Clock()
 	helloDue := e.peers.HelloDue(now)
-	to := e.peers.NextRound(now, len(heartbeat))
+	to := e.peers.NextRound(now, len(heartbeat), own)
 	seeds := e.seeds
 	contacts := e.zoneContacts()
 	prevReads, prevHosts := e.reads, e.hosts
 	e.reads = e.peers.ReadsStore(now, answers, leaving)
 	e.hosts = e.peers.LiveHosts(now)
 	reads, hosts := e.reads, e.hosts
+	digest, receivers := e.peers.Digest(now), e.peers.Receivers(now)
 	loads := &steering.PeerLoads{
 		Hosts: hosts, Settled: e.peers.Settled(now), Targets: map[steering.Token]steering.TargetLoad{},
 		ZoneAnswers: e.peers.ZoneAnswers(),
@@ -190,6 +220,9 @@
 	if reads != prevReads {
 		e.cfg.Log.Info().Str("event", "reader_changed").Bool("reads", reads).Int("hosts", hosts).Bool("store_answers", answers).Send()
 	}
+	if reads != prevReads {
+		e.cfg.Local.HandleReader()
+	}
 	e.cfg.Local.HandleLoads(loads)
 	hello := &gossip.Message{Kind: gossip.KindHello, From: e.cfg.Self}
 	if helloDue {
@@ -199,6 +232,18 @@
 	if err == nil {
 		e.write(heartbeat, addrs(to)...)
 	}
+	if digest != nil {
+		e.sendToZone(&gossip.Message{Kind: gossip.KindDigest, From: e.cfg.Self, StoreAnswers: answers, Leaving: leaving, Digest: digest}, receivers)
+	}
+}
+
+// sendToZone sends a message to the heads of groups, with the hosts that each of
+// them relays it to.
+func (e *Exchange) sendToZone(m *gossip.Message, groups []peers.Group) {
+	for _, g := range groups {
+		m.Relay = g.Relay
+		e.send(m, g.Head.Addr)
+	}
 }
 
 // zoneContacts returns the hosts that are queried to find out whether an
@@ -230,16 +275,46 @@
 // that the receivers read the store themselves.
 func (e *Exchange) SendFeed(f *gossip.Feed) {
 	e.mu.Lock()
-	to := e.peers.ZoneHosts()
+	receivers := e.peers.Receivers(e.cfg.Clock())
 	e.mu.Unlock()
-	if len(to) == 0 {
+	if len(receivers) == 0 {
 		return
 	}
-	m := &gossip.Message{Kind: gossip.KindFeed, From: e.cfg.Self, StoreAnswers: true, Leaving: e.cfg.Local.Leaving(), Feed: f}
-	if b, err := gossip.Encode(m); err != nil || len(b)*len(to) > maxFeedBytes {
+	m := &gossip.Message{
+		Kind: gossip.KindFeed, From: e.cfg.Self, StoreAnswers: e.cfg.Local.StoreAnswers(), Leaving: e.cfg.Local.Leaving(), Feed: f,
+	}
+	if b, err := gossip.Encode(m); err != nil || len(b)*len(receivers) > e.maxFeedBytes() {
 		f.Changes, f.Partial = nil, true
 	}
-	e.send(m, addrs(to)...)
+	e.sendToZone(m, receivers)
+}
+
+// maxFeedBytes returns the bytes that the host's link carries in maxFeedTime.
+func (e *Exchange) maxFeedBytes() int {
+	mbps := e.cfg.Self.LinkMbps
+	if mbps <= 0 {
+		mbps = assumedLinkMbps
+	}
+	return int(float64(mbps) * 1e6 / 8 * maxFeedTime.Seconds())
+}
+
+// Fetch requests the changes after an index from the zone's reader, or from
+// hosts of other zones if this host is the reader. It reports whether there is a
+// host to request them from; the reply arrives as a feed.
+func (e *Exchange) Fetch(after store.Index) bool {
+	e.mu.Lock()
+	to := e.peers.FetchFrom(e.cfg.Clock())
+	e.mu.Unlock()
+	e.send(&gossip.Message{Kind: gossip.KindFetch, From: e.cfg.Self, After: after}, addrs(to)...)
+	return len(to) > 0
+}
+
+// FeedWait returns how much longer than the first host of the zone this one
+// waits for a missing feed before it reads the store itself.
+func (e *Exchange) FeedWait() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.peers.FeedWait()
 }
 
 func addrs(hosts []gossip.Host) []netip.AddrPort {
--- a/transport/gossip/gossip_test.go
+++ b/transport/gossip/gossip_test.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/jujubehaven/jujubehaven/coordination/steering"
+	"github.com/jujubehaven/jujubehaven/coordination/store"
 	"github.com/jujubehaven/jujubehaven/internal/fakes/buffer"
 	"github.com/jujubehaven/jujubehaven/internal/logging"
 	"github.com/jujubehaven/jujubehaven/protocol/gossip"
@@ -28,8 +29,21 @@
 	peerLoads *steering.PeerLoads
 	// unreachable is what UnreachableZones returns.
 	unreachable []string
+	// changes is what ChangesSince returns.
+	changes *gossip.Feed
 }
 
+func (s *localStub) ChangesSince(after store.Index) *gossip.Feed {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.changes == nil || s.changes.From > after {
+		return nil
+	}
+	return s.changes
+}
+
+func (s *localStub) HandleReader() {}
+
 func (s *localStub) UnreachableZones() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -179,7 +193,7 @@
 	first.SendFeed(&gossip.Feed{From: 3, To: 5, Changes: []gossip.Change{{Key: "t/1", Value: []byte("1"), Revision: 4}}})
 	eventually(t, "first feed", func() bool { return len(second.receivedFeeds()) == 1 })
 	is.Equal(len(second.receivedFeeds()[0].Changes), 1)
-	noise := make([]byte, 2*maxFeedBytes) // pseudo-random, so that it does not compress
+	noise := make([]byte, 2*first.maxFeedBytes()) // pseudo-random, so that it does not compress
 	state := uint32(1)
 	for i := range noise {
 		state = state*1664525 + 1013904223
