Give up flows of dead targets on the zone's evidence

A reset was also tied to a retransmission, and callers back off to 1.6 s.

Change: hosts report how many flows a target left unanswered, and which targets have just answered; an answer at any host clears the count. A target is silent with two unanswered flows in the zone, and its idempotent flows are given up with three, after 0.7 s without an answer that other hosts confirm. Ticks reset waiting flows without a packet of their callers.

--- a/coordination/peers/loads.go
+++ b/coordination/peers/loads.go
@@ -64,28 +64,47 @@
 	if p.large() && !p.leads {
 		return p.digestLoads(now)
 	}
-	return p.sumReports(now)
+	return p.sumReports(now, nil)
 }
 
-// sumReports sums the loads that other hosts of the zone reported to this one.
-func (p *Peers) sumReports(now time.Duration) map[uint32]gossip.TargetLoad {
+// sumReports sums the loads that other hosts of the zone reported to this one
+// and this host's own loads, if any are passed.
+func (p *Peers) sumReports(now time.Duration, own []gossip.TargetLoad) map[uint32]gossip.TargetLoad {
 	sum := make(map[uint32]gossip.TargetLoad)
+	addLoads(sum, own)
 	window := p.reportWindow()
 	for _, other := range p.zonePeers() {
 		if p.reports(now, other, window) {
 			addLoads(sum, other.loads)
 		}
 	}
+	clearUnanswered(sum, p.ownAnswers)
+	for _, other := range p.zonePeers() {
+		if p.reports(now, other, window) {
+			clearUnanswered(sum, other.answers)
+		}
+	}
 	return sum
 }
 
+// clearUnanswered removes the unanswered flows at targets that answer a host: the
+// cause lies between them and the hosts that have no answer.
+func clearUnanswered(sum map[uint32]gossip.TargetLoad, answers []uint32) {
+	for _, token := range answers {
+		if total, ok := sum[token]; ok && total.Unanswered > 0 {
+			total.Unanswered = 0
+			sum[token] = total
+		}
+	}
+}
+
 func addLoads(sum map[uint32]gossip.TargetLoad, loads []gossip.TargetLoad) {
 	for _, l := range loads {
 		total := sum[l.Token]
 		total.Token = l.Token
 		total.Open += l.Open
 		total.Busy += l.Busy
-		total.Silent += l.Silent
+		total.Unanswered += l.Unanswered
 		total.FastPercent = max(total.FastPercent, l.FastPercent)
 		sum[l.Token] = total
 	}
@@ -106,7 +125,7 @@
 		}
 		total.Open = max(total.Open-own.Open, 0)
 		total.Busy = max(total.Busy-own.Busy, 0)
-		total.Silent = max(total.Silent-own.Silent, 0)
+		total.Unanswered = max(total.Unanswered-own.Unanswered, 0)
 		sum[own.Token] = total
 	}
 	return sum
--- a/coordination/peers/peers.go
+++ b/coordination/peers/peers.go
@@ -62,6 +62,7 @@
 	storeAnswers                              bool
 	leaving                                   bool
 	loads                                     []gossip.TargetLoad
+	answers                                   []uint32
 	// lastDigest is when the host last sent a digest or a store feed, which shows
 	// that it is a reader.
 	lastDigest time.Duration
@@ -85,8 +86,9 @@
 	// round counts the rounds, lastRound is when the last one was.
 	round     int
 	lastRound time.Duration
-	// ownLoads is this host's last report.
-	ownLoads []gossip.TargetLoad
+	// ownLoads and ownAnswers are this host's last report.
+	ownLoads   []gossip.TargetLoad
+	ownAnswers []uint32
 	// digest is the last digest of the reader, received at digestAt.
 	digest   gossip.Digest
 	digestAt time.Duration
@@ -133,7 +135,7 @@
 	from.storeAnswers = m.StoreAnswers
 	from.leaving = m.Leaving
 	if m.Kind == gossip.KindHeartbeat {
-		from.loads = m.Loads
+		from.loads, from.answers = m.Loads, m.Answers
 	}
 	if m.From.Zone == p.self.Zone {
 		p.receiveFromReader(now, m, from)
--- a/coordination/peers/peers_test.go
+++ b/coordination/peers/peers_test.go
@@ -111,7 +111,7 @@
 	p.Receive(0, &gossip.Message{Kind: gossip.KindHello, From: host(1, "b")})
 	p.Receive(0, &gossip.Message{Kind: gossip.KindHello, From: host(2, "b")})
 	is.Equal(p.LiveHosts(0), 1)
-	is.Equal(len(p.NextRound(0, 100, nil)), 0)
+	is.Equal(len(p.NextRound(0, 100, nil, nil)), 0)
 	known := p.KnownHosts(0, "b")
 	is.Equal(len(known), 3)
 	is.Equal(known[0].Zone, "b") // the sender's zone first
@@ -124,7 +124,7 @@
 	is := is.New(t)
 	p := New(host(0, "a"))
 	p.Receive(0, &gossip.Message{Kind: gossip.KindHelloReply, From: host(9, "b"), KnownHosts: []gossip.Host{host(0, "a"), host(1, "a"), host(2, "c")}})
-	round := p.NextRound(0, 100, nil)
+	round := p.NextRound(0, 100, nil, nil)
 	is.Equal(len(round), 1)
 	is.Equal(round[0].Name, "h1")
 	is.Equal(p.LiveHosts(0), 1) // no heartbeat yet
@@ -154,8 +154,8 @@
 	is := is.New(t)
 	p := New(host(0, "a"))
 	p.Receive(0, heartbeat(host(1, "a"), true, gossip.TargetLoad{Token: 7, Open: 2, Busy: 1}))
-	p.Receive(0, heartbeat(host(2, "a"), true, gossip.TargetLoad{Token: 7, Open: 3, Busy: 2, Silent: 1}))
-	is.Equal(p.Loads(0)[7], gossip.TargetLoad{Token: 7, Open: 5, Busy: 3, Silent: 1})
+	p.Receive(0, heartbeat(host(2, "a"), true, gossip.TargetLoad{Token: 7, Open: 3, Busy: 2, Unanswered: 1}))
+	is.Equal(p.Loads(0)[7], gossip.TargetLoad{Token: 7, Open: 5, Busy: 3, Unanswered: 1})
 	is.Equal(len(p.Loads(time.Minute)), 0)
 }
 
@@ -166,7 +166,7 @@
 	p := newZone(75)[0]
 	got := map[string]int{}
 	for range 10 {
-		round := p.NextRound(0, 100, nil)
+		round := p.NextRound(0, 100, nil, nil)
 		is.Equal(len(round), maxHeartbeatsPerRound)
 		for _, h := range round {
 			got[h.Name]++
@@ -180,17 +180,17 @@
 func TestRoundBytesAreBounded(t *testing.T) {
 	is := is.New(t)
 	p := newZone(9)[0]
-	is.Equal(len(p.NextRound(0, maxRoundBytes/2, nil)), 2)
+	is.Equal(len(p.NextRound(0, maxRoundBytes/2, nil, nil)), 2)
 	is.Equal(p.LiveHosts(4*maxMissedRounds*HeartbeatInterval-1), 9)
 	is.Equal(p.LiveHosts(4*maxMissedRounds*HeartbeatInterval), 1)
-	is.Equal(len(p.NextRound(0, 10*maxRoundBytes, nil)), 1)
+	is.Equal(len(p.NextRound(0, 10*maxRoundBytes, nil, nil)), 1)
 }
 
 func TestSilentHostsAreForgotten(t *testing.T) {
 	is := is.New(t)
 	p := New(host(0, "a"))
 	p.Receive(0, heartbeat(host(1, "a"), true))
-	p.NextRound(peerRetention, 100, nil)
+	p.NextRound(peerRetention, 100, nil, nil)
 	is.Equal(len(p.ZoneHosts()), 0)
 }
 
--- a/coordination/peers/rounds.go
+++ b/coordination/peers/rounds.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	// maxDigestLoads bounds the targets in a digest. Silent targets come first,
+	// maxDigestLoads bounds the targets in a digest. Unanswered targets come first,
 	// then those that answer too fast, then the most loaded.
 	maxDigestLoads = 512
 	// countWindow is how long a host without a report still counts as one of the
@@ -28,14 +28,14 @@
 
 // NextRound returns the hosts of the zone that get this host's heartbeat of
 // heartbeatBytes bytes in this round, and removes hosts that no message has
-// named for peerRetention. loads is what the heartbeat reports.
-func (p *Peers) NextRound(now time.Duration, heartbeatBytes int, loads []gossip.TargetLoad) []gossip.Host {
+// named for peerRetention. loads and answers are what the heartbeat reports.
+func (p *Peers) NextRound(now time.Duration, heartbeatBytes int, loads []gossip.TargetLoad, answers []uint32) []gossip.Host {
 	if now > p.lastRound+stallTimeout {
 		p.readerSeen = now
 	}
 	p.round++
 	p.lastRound = now
-	p.ownLoads = loads
+	p.ownLoads, p.ownAnswers = loads, answers
 	for name, other := range p.peers {
 		if now >= other.lastMentioned+peerRetention {
 			delete(p.peers, name)
@@ -115,9 +115,7 @@
 	if !p.leads || !p.large() {
 		return nil
 	}
-	sum := p.sumReports(now)
-	addLoads(sum, p.ownLoads)
-	return &gossip.Digest{Hosts: p.LiveHosts(now), Standby: p.standby(now), Loads: heaviest(sum)}
+	return &gossip.Digest{Hosts: p.LiveHosts(now), Standby: p.standby(now), Loads: heaviest(p.sumReports(now, p.ownLoads))}
 }
 
 // heaviest returns the loads that fit into a digest.
@@ -134,7 +132,7 @@
 // targets first, then those that answer too fast, then the most loaded.
 func SortLoads(loads []gossip.TargetLoad) {
 	slices.SortFunc(loads, func(a, b gossip.TargetLoad) int {
-		return cmp.Or(cmp.Compare(b.Silent, a.Silent), cmp.Compare(b.FastPercent, a.FastPercent),
+		return cmp.Or(cmp.Compare(b.Unanswered, a.Unanswered), cmp.Compare(b.FastPercent, a.FastPercent),
 			cmp.Compare(b.Busy, a.Busy), cmp.Compare(b.Open, a.Open), cmp.Compare(a.Token, b.Token))
 	})
 }
--- a/coordination/peers/zone_test.go
+++ b/coordination/peers/zone_test.go
@@ -23,7 +23,9 @@
 	lost func(from, to *simHost) bool
 	// loads returns what a host reports; nil reports nothing.
 	loads func(h *simHost) []gossip.TargetLoad
-	// storeCalls counts the reads of the store that feeds did not make needless.
+	// answers returns the targets that have just answered a host; nil returns none.
+	answers func(h *simHost) []uint32
+	// sentMessages counts the messages of all hosts.
 	sentMessages int
 }
 
@@ -120,12 +122,16 @@
 	if z.loads != nil {
 		loads = z.loads(h)
 	}
+	var answers []uint32
+	if z.answers != nil {
+		answers = z.answers(h)
+	}
 	m := gossip.Message{From: h.host, StoreAnswers: !h.refused, Leaving: h.leaving}
-	to := h.NextRound(now, 200, loads)
+	to := h.NextRound(now, 200, loads, answers)
 	h.reads = h.ReadsStore(now, !h.refused, h.leaving)
 	digest, receivers := h.Digest(now), h.Receivers(now)
 	heartbeat := m
-	heartbeat.Kind, heartbeat.Loads = gossip.KindHeartbeat, loads
+	heartbeat.Kind, heartbeat.Loads, heartbeat.Answers = gossip.KindHeartbeat, loads, answers
 	for _, other := range to {
 		z.send(h, other.Addr, &heartbeat)
 	}
@@ -149,7 +155,7 @@
 	return list
 }
 
-// reader runs the zone for three seconds and returns its only reader.
+// settle runs the zone for three seconds and returns its only reader.
 func (z *zoneSim) settle() *simHost {
 	z.run(z.now+3*time.Second, nil)
 	readers := z.readers()
@@ -187,7 +193,7 @@
 			z.loads = func(h *simHost) []gossip.TargetLoad {
 				loads := []gossip.TargetLoad{{Token: 1, Busy: 1, Open: 2}}
 				if h == changed && changedAt > 0 {
-					loads = append(loads, gossip.TargetLoad{Token: 2, Silent: 1})
+					loads = append(loads, gossip.TargetLoad{Token: 2, Unanswered: 1})
 				}
 				return loads
 			}
@@ -202,7 +208,7 @@
 			changedAt = z.now
 			z.run(z.now+400*time.Millisecond+4*time.Millisecond, nil)
 			for _, h := range z.hosts {
-				is.True(h == changed || h.Loads(z.clock(h))[2].Silent == 1)
+				is.True(h == changed || h.Loads(z.clock(h))[2].Unanswered == 1)
 			}
 		})
 	}
@@ -336,7 +342,7 @@
 	reader := z.settle()
 	got := map[string]int{}
 	for range 4 {
-		for _, h := range reader.NextRound(z.clock(reader), 200, nil) {
+		for _, h := range reader.NextRound(z.clock(reader), 200, nil, nil) {
 			got[h.Name]++
 		}
 	}
@@ -357,3 +363,32 @@
 	newcomer.Receive(0, &gossip.Message{Kind: gossip.KindFeed, From: z.hosts[10].host, StoreAnswers: true})
 	is.Equal(newcomer.LiveHosts(0), 21)
 }
+
+// Guards against targets that a zone believes to be dead although one of its
+// hosts gets their answers: the fault is then on the path of the others.
+func TestAnswersOutweighUnansweredFlows(t *testing.T) {
+	for _, n := range []int{4, 55} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			is := is.New(t)
+			z := newZoneSim(t, n, 7)
+			z.loads = func(h *simHost) []gossip.TargetLoad {
+				if h == z.hosts[n-1] {
+					return []gossip.TargetLoad{{Token: 1, Busy: 1}}
+				}
+				return []gossip.TargetLoad{{Token: 1, Busy: 1, Unanswered: 2}, {Token: 2, Unanswered: 1}}
+			}
+			z.answers = func(h *simHost) []uint32 {
+				if h == z.hosts[n-1] {
+					return []uint32{1}
+				}
+				return nil
+			}
+			z.run(3*time.Second, nil)
+			for _, h := range z.hosts {
+				loads := h.Loads(z.clock(h))
+				is.Equal(loads[1].Unanswered, 0)
+				is.True(loads[2].Unanswered >= n-2)
+			}
+		})
+	}
+}
--- a/coordination/steering/cold_test.go
+++ b/coordination/steering/cold_test.go
@@ -48,7 +48,7 @@
 				if c.readAfter > 0 && w.now > answered+c.readAfter {
 					w.complete = w.now
 				}
-				w.Tick(w.now)
+				w.Tick(w.now, w.recordReset)
 				caller := w.caller(n, feeds)
 				n++
 				if a := caller.open(0); a.Key == "a0" {
--- /dev/null
+++ b/coordination/steering/deadflows.go
@@ -0,0 +1,54 @@
+package steering
+
+import (
+	"time"
+
+	"github.com/jujubehaven/jujubehaven/protocol/packet"
+	"github.com/jujubehaven/jujubehaven/protocol/verdict"
+)
+
+// Flows of dead targets. The load pattern: targets die without notice while
+// callers wait for their answers. Callers retransmit at growing intervals, so the
+// packet that would be answered with a reset may come long after the target is
+// known to be dead, or after the caller's deadline. Idempotent requests can be
+// sent elsewhere, so their flows are reset as soon as the evidence suffices. In a
+// large zone each host sees few flows of a target; the evidence is therefore
+// summed over the hosts of the zone.
+
+// givesUp reports whether a flow that waits for an answer is to be reset because
+// its target is dead.
+func (s *Steering) givesUp(now time.Duration, r *route, f *flow) bool {
+	return r.idempotent && f.awaiting && f.target.health.dead(now, now-f.pendingSince, f.target.peersUnanswered)
+}
+
+// confirmSilences marks the targets as silent that left flows unanswered at this
+// host and at others.
+func (s *Steering) confirmSilences(now time.Duration) {
+	for _, t := range s.targets {
+		if t.health.confirmSilence(now, t.peersUnanswered) {
+			s.recordSilence(now, t)
+		}
+	}
+}
+
+// resetDeadFlows resets the flows that wait for the answers of dead targets.
+func (s *Steering) resetDeadFlows(now time.Duration, reset func(*Segment, *Action)) {
+	for key, f := range s.flows {
+		if f.target == nil || !f.retransmitted {
+			continue
+		}
+		r := s.routes[key.Service]
+		if r == nil || !s.givesUp(now, r, f) {
+			continue
+		}
+		if !s.mostTargetsAnswer(now) {
+			return
+		}
+		s.counts.Resets[CauseTargetSilent]++
+		reset(
+			&Segment{Flow: key, Class: packet.Data, Token: f.target.token, Ack: f.ack},
+			&Action{Kind: Reset, Cause: CauseTargetSilent, Key: f.target.entry.Key, Run: verdict.MayHaveRun},
+		)
+		s.removeFlow(key)
+	}
+}
--- a/coordination/steering/fixture_test.go
+++ b/coordination/steering/fixture_test.go
@@ -23,8 +23,17 @@
 	// refreshes counts the calls of Refresh.
 	refreshes int
 	events    []Event
+	// resets holds the flows that Tick gave up.
+	resets []reset
 }
 
+type reset struct {
+	segment Segment
+	action  Action
+}
+
+func (w *fixture) recordReset(p *Segment, a *Action) { w.resets = append(w.resets, reset{*p, *a}) }
+
 var (
 	feeds  = endpoint("198.18.0.1:8443") // idempotent
 	orders = endpoint("198.18.0.1:8080")
--- a/coordination/steering/health.go
+++ b/coordination/steering/health.go
@@ -7,19 +7,20 @@
 	// progress on any other flow before it counts as silent. Callers retransmit
 	// after 200 ms.
 	silenceTimeout = 250 * time.Millisecond
-	// minSilentFlows is the number of unanswered flows from which a target counts
-	// as silent. One unanswered opening is enough, as a target answers openings at
-	// once.
+	// minSilentFlows is the number of unanswered flows, at this host and at
+	// others of its zone, from which a target counts as silent. One unanswered
+	// opening is enough, as a target answers openings at once.
 	minSilentFlows = 2
-	// minDeadFlows is the number of unanswered flows at this host required to
-	// give up a flow. One is enough if minDeadHosts other hosts report the target
-	// as silent.
-	minDeadFlows = 3
-	minDeadHosts = 2
+	// minDeadFlows is the number of unanswered flows, at this host and at others
+	// of its zone, required to give up a flow. From minConfirmingFlows at other
+	// hosts on, these confirm that the silence is not this host's own.
+	minDeadFlows       = 3
+	minConfirmingFlows = 2
 	// minDeadSilence is how long the target has to be silent before a flow is
-	// given up: longer than congestion of this host's link lasts. minDeadWait is
-	// how long the flow itself has to wait: until its caller's second
-	// retransmission.
+	// given up: longer than congestion of this host's link lasts. It counts from
+	// the verdict, or from the oldest unanswered data if other hosts confirm it.
+	// minDeadWait is how long the flow itself has to wait: until its caller's
+	// second retransmission.
 	minDeadSilence = 700 * time.Millisecond
 	minDeadWait    = 500 * time.Millisecond
 	// unansweredWindow and answerWindow are how old the last unanswered flow and
@@ -74,9 +75,10 @@
 }
 
 // recordDataRetransmission records that a flow retransmitted data first sent at
-// the time sent; first is set for the first retransmission. It reports whether
-// the target becomes silent.
-func (h *health) recordDataRetransmission(now, sent time.Duration, first bool) bool {
+// the time sent; first is set for the first retransmission. others is the number
+// of flows that the target left unanswered at other hosts. It reports whether the
+// target becomes silent.
+func (h *health) recordDataRetransmission(now, sent time.Duration, first bool, others int) bool {
 	if h.lastProgress > sent {
 		return false // it answers other flows: this one waits for a slot
 	}
@@ -87,10 +89,33 @@
 		h.unansweredFlows++
 	}
 	h.lastUnanswered = now
-	if h.unansweredFlows < minSilentFlows || now-h.unansweredSince < silenceTimeout {
-		return false
+	return h.unansweredLong(now, others) && h.markSilent(now)
+}
+
+// unansweredLong reports whether enough flows have waited long enough for the
+// target to count as silent.
+func (h *health) unansweredLong(now time.Duration, others int) bool {
+	return h.unansweredFlows > 0 && h.unansweredFlows+others >= minSilentFlows && now-h.unansweredSince >= silenceTimeout
+}
+
+// confirmSilence marks the target as silent if the unanswered flows of this host
+// and of others together suffice. It reports whether the target becomes silent.
+func (h *health) confirmSilence(now time.Duration, others int) bool {
+	return !h.silent && others > 0 && h.unansweredLong(now, others) &&
+		now-h.lastUnanswered < unansweredWindow && h.markSilent(now)
+}
+
+// reportedUnanswered returns the number of unanswered flows for other hosts; a
+// silent target counts as enough of them.
+func (h *health) reportedUnanswered(now time.Duration) int {
+	n := 0
+	if now-h.lastUnanswered < unansweredWindow {
+		n = h.unansweredFlows
 	}
-	return h.markSilent(now)
+	if h.silent {
+		n = max(n, minSilentFlows)
+	}
+	return min(n, maxReportedUnanswered)
 }
 
 // markSilent marks the target as silent, or doubles the backoff if it is silent
@@ -110,12 +135,16 @@
 }
 
 // dead reports whether a flow that has waited for the given time is to be given
-// up: the target has been silent for long, several flows or several other hosts
-// confirm it, and a flow of this host went unanswered recently.
-func (h *health) dead(now, waited time.Duration, hosts int) bool {
-	confirmed := h.unansweredFlows >= minDeadFlows || (h.unansweredFlows > 0 && hosts >= minDeadHosts)
-	return h.silent && confirmed && now-h.silentSince >= minDeadSilence &&
-		now-h.lastUnanswered < unansweredWindow && waited >= minDeadWait
+// up: the target has been silent for long, several flows confirm it, and one of
+// this host went unanswered recently. others is the number of unanswered flows at
+// other hosts.
+func (h *health) dead(now, waited time.Duration, others int) bool {
+	since := h.silentSince
+	if others >= minConfirmingFlows {
+		since = h.unansweredSince
+	}
+	return h.silent && h.unansweredFlows > 0 && h.unansweredFlows+others >= minDeadFlows &&
+		now-since >= minDeadSilence && now-h.lastUnanswered < unansweredWindow && waited >= minDeadWait
 }
 
 // answering reports whether the target answered recently.
--- a/coordination/steering/loads.go
+++ b/coordination/steering/loads.go
@@ -14,10 +14,20 @@
 	// FastShare is the largest share, from 0 to 1, of too fast answers at any of
 	// the hosts.
 	FastShare float64
-	// Silent counts the hosts that report the target as silent.
-	Silent int
+	// Unanswered counts flows that the target left unanswered since its last
+	// answer, at most maxReportedUnanswered of each host. It is 0 if the target
+	// answers another host meanwhile.
+	Unanswered int
 }
 
+// maxReportedUnanswered bounds the unanswered flows in a host's report. It is
+// enough for two hosts to confirm a silent target.
+const maxReportedUnanswered = minDeadFlows
+
+// answerReportWindow is how long an answer of a target is reported to other
+// hosts: a little longer than the time between two reports.
+const answerReportWindow = 300 * time.Millisecond
+
 // minReportedFastShare is the smallest share of too fast answers that is
 // reported to other hosts.
 const minReportedFastShare = 0.05
@@ -39,7 +49,7 @@
 	s.peerLoads = l
 	for _, t := range s.targets {
 		load := l.Targets[t.token]
-		t.peersOpen, t.peersBusy, t.peersSilent = load.Open, load.Busy, load.Silent
+		t.peersOpen, t.peersBusy, t.peersUnanswered = load.Open, load.Busy, load.Unanswered
 		t.peersFast = load.FastShare
 	}
 }
@@ -54,6 +64,10 @@
 	TargetLoad
 	// Eligible is set if the target may be assigned new flows.
 	Eligible bool
+	// Silent is set if this host believes that the target does not answer.
+	Silent bool
+	// Answered is set if the target has just answered this host.
+	Answered bool
 }
 
 // NumTargets returns the number of targets in the view, including those that
@@ -61,22 +75,21 @@
 func (s *Steering) NumTargets() int { return len(s.targets) }
 
 // TargetStats returns the targets about which this host has data to report:
-// flows, requests, silence or too fast answers.
+// flows, requests, answers, silence or too fast answers.
 func (s *Steering) TargetStats(now time.Duration) []TargetStats {
 	list := make([]TargetStats, 0, len(s.targets))
 	for key, t := range s.targets {
 		fastShare := t.fastAnswers.shareAt(now)
-		if t.entry.Gone || (t.open == 0 && t.busy == 0 && t.opening == 0 && !t.health.silent && fastShare < minReportedFastShare) {
+		unanswered := t.health.reportedUnanswered(now)
+		answered := t.health.lastProgress > 0 && now-t.health.lastProgress < answerReportWindow
+		idle := t.open == 0 && t.busy == 0 && t.opening == 0
+		if t.entry.Gone || (idle && unanswered == 0 && !answered && fastShare < minReportedFastShare) {
 			continue
 		}
-		silent := 0
-		if t.health.silent {
-			silent = 1
-		}
 		list = append(list, TargetStats{
 			Key: key, Token: t.token, Service: t.entry.Service, Zone: t.entry.Zone,
-			TargetLoad: TargetLoad{Open: t.open, Busy: t.busy + t.opening, FastShare: fastShare, Silent: silent},
-			Eligible:   t.eligible(),
+			TargetLoad: TargetLoad{Open: t.open, Busy: t.busy + t.opening, FastShare: fastShare, Unanswered: unanswered},
+			Eligible:   t.eligible(), Silent: t.health.silent, Answered: answered,
 		})
 	}
 	return list
--- a/coordination/steering/observe.go
+++ b/coordination/steering/observe.go
@@ -73,7 +73,7 @@
 	if !seqAfter(end, f.nextSeq) {
 		s.counts.RepeatedData++
 		s.setBusy(f, true)
-		if t.health.recordDataRetransmission(now, f.pendingSince, !f.retransmitted) {
+		if t.health.recordDataRetransmission(now, f.pendingSince, !f.retransmitted, t.peersUnanswered) {
 			s.recordSilence(now, t)
 		}
 		s.judgePath(now, t.path)
--- a/coordination/steering/openings_test.go
+++ b/coordination/steering/openings_test.go
@@ -26,7 +26,7 @@
 		c.p.Class, c.p.Token = packet.Closing, c.token
 		c.send()
 		w.now += 10 * time.Millisecond
-		w.Tick(w.now)
+		w.Tick(w.now, w.recordReset)
 	}
 	is.True(maps > flows/5 && maps < flows*3/10) // a quarter
 }
--- a/coordination/steering/place.go
+++ b/coordination/steering/place.go
@@ -100,7 +100,7 @@
 	if t.path.unreachable || !t.health.usable(now) {
 		cost += silentPenalty
 	}
-	if t.peersSilent > 0 {
+	if t.peersUnanswered >= minSilentFlows {
 		cost += peerSilentPenalty
 	}
 	if t.entry.Missing {
--- a/coordination/steering/reachability_test.go
+++ b/coordination/steering/reachability_test.go
@@ -115,7 +115,7 @@
 		}, false},
 		"the hold has passed": {func(w *fixture) {
 			w.now += maxUnreachableHold
-			w.Tick(w.now)
+			w.Tick(w.now, w.recordReset)
 		}, true},
 	}
 	for name, c := range cases {
--- a/coordination/steering/replay_test.go
+++ b/coordination/steering/replay_test.go
@@ -79,7 +79,7 @@
 		r.now = e.at
 		if r.now >= ticked+50*time.Millisecond {
 			ticked = r.now
-			r.Tick(r.now)
+			r.Tick(r.now, r.recordReset)
 		}
 		e.do()
 	}
@@ -302,7 +302,7 @@
 	is := is.New(t)
 	w := newFixture(t)
 	w.SetPeerLoads(&PeerLoads{Hosts: 2, Targets: map[Token]TargetLoad{
-		TokenOf("a0"): {Busy: 2}, TokenOf("a1"): {Silent: 1},
+		TokenOf("a0"): {Busy: 2}, TokenOf("a1"): {Unanswered: 2},
 	}})
 	for n := range 2 {
 		is.Equal(w.caller(n, orders).open(0).Key, fleet.TargetKey("a2"))
--- a/coordination/steering/silence_test.go
+++ b/coordination/steering/silence_test.go
@@ -57,7 +57,7 @@
 		w := newFixture(t)
 		c, key := silenceTarget(w, feeds)
 		w.targets[key].health.unansweredFlows = 1
-		w.SetPeerLoads(&PeerLoads{Hosts: 4, Targets: map[Token]TargetLoad{TokenOf(key): {Silent: hosts}}})
+		w.SetPeerLoads(&PeerLoads{Hosts: 4, Targets: map[Token]TargetLoad{TokenOf(key): {Unanswered: hosts}}})
 		is.Equal(c.sendRequest().Kind, want)
 	}
 }
--- a/coordination/steering/steering.go
+++ b/coordination/steering/steering.go
@@ -101,13 +101,17 @@
 func (s *Steering) NumFlows() int { return len(s.flows) }
 
 // Tick does the periodic work: it expires flows, the presumption that recovered
-// targets are cold and verdicts about zones. now is on the same clock as in all other calls.
-func (s *Steering) Tick(now time.Duration) {
+// targets are cold and verdicts about zones, and gives up flows of dead targets.
+// It calls reset for each of these with a segment of the flow, whose caller gets
+// a reset. now is on the same clock as in all other calls.
+func (s *Steering) Tick(now time.Duration, reset func(*Segment, *Action)) {
 	if s.view == nil || now < s.lastSweep+sweepInterval {
 		return
 	}
 	s.lastSweep = now
 	s.sweep(now)
+	s.confirmSilences(now)
+	s.resetDeadFlows(now, reset)
 	s.endPresumedCold(now)
 	s.expireUnreachable(now)
 }
@@ -191,7 +195,7 @@
 	}
 	sameTarget := f.target == t
 	s.attach(f, t)
-	if r.idempotent && f.retransmitsAgain(p) && t.health.dead(now, now-f.pendingSince, t.peersSilent) && s.mostTargetsAnswer(now) {
+	if f.retransmitsAgain(p) && s.givesUp(now, r, f) && s.mostTargetsAnswer(now) {
 		s.refuse(p, a, CauseTargetSilent, verdict.MayHaveRun)
 		a.Key = t.entry.Key
 		s.removeFlow(p.Flow)
--- a/coordination/steering/steering_test.go
+++ b/coordination/steering/steering_test.go
@@ -147,9 +147,9 @@
 		}
 	}
 	w.now += time.Minute
-	w.Tick(w.now)
+	w.Tick(w.now, w.recordReset)
 	w.now += time.Minute
-	w.Tick(w.now)
+	w.Tick(w.now, w.recordReset)
 	for _, t := range w.targets {
 		is.Equal(t.open, 0)
 		is.Equal(t.busy, 0)
@@ -166,11 +166,11 @@
 	c.sendRequest()
 	is.Equal(w.targets[key].busy, 1)
 	w.now += busyLoadExpiry + sweepInterval
-	w.Tick(w.now)
+	w.Tick(w.now, w.recordReset)
 	is.Equal(w.targets[key].busy, 0)
 	is.Equal(w.targets[key].open, 1)
 	w.now += openLoadExpiry
-	w.Tick(w.now)
+	w.Tick(w.now, w.recordReset)
 	is.Equal(w.targets[key].open, 0)
 	c.sendRequest() // its packets take this host again
 	is.Equal(w.targets[key].open, 1)
--- a/coordination/steering/target.go
+++ b/coordination/steering/target.go
@@ -25,9 +25,9 @@
 	// peersOpen counts the other hosts' open flows at the target, peersBusy those
 	// of them that are opening or busy.
 	peersOpen, peersBusy int
-	// peersSilent is the number of other hosts of the zone that report the target
-	// as silent.
-	peersSilent int
+	// peersUnanswered is the number of flows that the target left unanswered at
+	// the other hosts of the zone.
+	peersUnanswered int
 	// peersFast is the largest share of too fast answers that another host of the
 	// zone reports.
 	peersFast   float64
--- a/internal/tokenhost/local.go
+++ b/internal/tokenhost/local.go
@@ -34,18 +34,23 @@
 // maxReportedLoads limits the targets in one heartbeat.
 const maxReportedLoads = 64
 
+// maxReportedAnswers limits the targets that answered in one heartbeat.
+const maxReportedAnswers = 128
+
 const percent = 100
 
 // Loads implements gossip.Local.
-func (l local) Loads() []wire.TargetLoad {
-	var loads []wire.TargetLoad
+func (l local) Loads() (loads []wire.TargetLoad, answers []uint32) {
 	for _, t := range l.h.packets.Stats().Targets {
-		if t.Open > 0 || t.Busy > 0 || t.Silent > 0 || t.FastShare > 0 {
+		if t.Answered {
+			answers = append(answers, uint32(t.Token))
+		}
+		if t.Open > 0 || t.Busy > 0 || t.Unanswered > 0 || t.FastShare > 0 {
 			loads = append(loads, wire.TargetLoad{
-				Token: uint32(t.Token), Open: t.Open, Busy: t.Busy, Silent: t.Silent, FastPercent: int(t.FastShare * percent),
+				Token: uint32(t.Token), Open: t.Open, Busy: t.Busy, Unanswered: t.Unanswered, FastPercent: int(t.FastShare * percent),
 			})
 		}
 	}
 	peers.SortLoads(loads)
-	return loads[:min(len(loads), maxReportedLoads)]
+	return loads[:min(len(loads), maxReportedLoads)], answers[:min(len(answers), maxReportedAnswers)]
 }
--- a/internal/tokenhost/metrics.go
+++ b/internal/tokenhost/metrics.go
@@ -125,7 +125,7 @@
 		key := string(t.Key)
 		out.gauge(c.targetFlows, float64(t.Open), key, t.Service)
 		out.gauge(c.targetRequests, float64(t.Busy), key, t.Service)
-		out.gauge(c.targetSilent, float64(t.Silent), key, t.Service)
+		out.gauge(c.targetSilent, boolValue(t.Silent), key, t.Service)
 	}
 }
 
@@ -133,7 +133,7 @@
 func selectTargets(all []steering.TargetStats) []steering.TargetStats {
 	list := slices.Clone(all)
 	slices.SortFunc(list, func(a, b steering.TargetStats) int {
-		return cmp.Or(cmp.Compare(b.Silent, a.Silent), cmp.Compare(b.Open, a.Open), cmp.Compare(a.Key, b.Key))
+		return cmp.Or(cmp.Compare(boolValue(b.Silent), boolValue(a.Silent)), cmp.Compare(b.Open, a.Open), cmp.Compare(a.Key, b.Key))
 	})
 	return list[:min(len(list), maxTargetSeries)]
 }
--- a/protocol/gossip/gossip.go
+++ b/protocol/gossip/gossip.go
@@ -89,9 +89,10 @@
 	// FastPercent is the share of the target's responses that came far faster
 	// than usual, in percent.
 	FastPercent int
-	// Silent is the number of hosts to which the target does not respond: 0 or 1
-	// in the report of one host.
-	Silent int
+	// Unanswered is the number of flows that the target left unanswered since its
+	// last answer. A host reports at most a few. Builds of version 0 report 1 for
+	// a silent target.
+	Unanswered int
 }
 
 // Feed holds the changes of the store after index From up to index To. Partial
@@ -139,6 +140,9 @@
 	Feed       *Feed        `cbor:"7,keyasint,omitempty"`
 	Digest     *Digest      `cbor:"8,keyasint,omitempty"`
 	After      store.Index  `cbor:"9,keyasint,omitempty"`
+	// Answers holds the tokens of the targets that have just answered the sender
+	// of a heartbeat.
+	Answers []uint32 `cbor:"11,keyasint,omitempty"`
 	// Relay holds the hosts that the receiver sends the message on to, without
 	// this list.
 	Relay []netip.AddrPort `cbor:"10,keyasint,omitempty"`
--- a/protocol/gossip/gossip_test.go
+++ b/protocol/gossip/gossip_test.go
@@ -15,7 +15,7 @@
 
 func testMessage() *Message {
 	return &Message{
-		Kind: KindHeartbeat, StoreAnswers: true, Loads: []TargetLoad{{Token: 7, Open: 2, Busy: 1, Silent: 1}},
+		Kind: KindHeartbeat, StoreAnswers: true, Loads: []TargetLoad{{Token: 7, Open: 2, Busy: 1, Unanswered: 1}},
 		From: Host{Name: "h1", Zone: "a", Addr: netip.MustParseAddrPort("10.0.0.1:7720"), Started: 12},
 	}
 }
--- a/transport/direct/direct.go
+++ b/transport/direct/direct.go
@@ -88,6 +88,7 @@
 	// cutOff is the last result of Steering.CutOff.
 	cutOff atomic.Bool
 	// The fields below are used only by the goroutine of Run.
+	reply        []byte // the buffer for resets
 	current      Stats
 	appliedView  *fleet.View
 	appliedLoads *steering.PeerLoads
@@ -103,7 +104,7 @@
 	}
 	// The error is ignored: a smaller buffer only drops packets earlier.
 	_ = conn.SetReadBuffer(readBufferBytes)
-	s := &Server{cfg: cfg, conn: conn}
+	s := &Server{cfg: cfg, conn: conn, reply: make([]byte, 0, maxDatagram)}
 	s.stats.Store(&Stats{})
 	return s, nil
 }
@@ -141,7 +142,6 @@
 func (s *Server) Run() error {
 	headroom := s.cfg.Codec.Headroom()
 	buf := make([]byte, headroom+maxDatagram)
-	reply := make([]byte, 0, headroom+maxDatagram)
 	var p steering.Segment
 	var a steering.Action
 	if err := s.extendReadDeadline(); err != nil {
@@ -166,7 +166,7 @@
 		}
 		now := s.cfg.Clock()
 		s.cfg.Steering.Handle(now, &p, &a)
-		s.execute(buf[:headroom+n], reply, &p, &a)
+		s.execute(buf[:headroom+n], s.reply, &p, &a)
 		s.cfg.Observer.Decided(now, &p, &a)
 	}
 }
@@ -177,7 +177,8 @@
 	return s.conn.SetReadDeadline(time.Now().Add(tickInterval))
 }
 
-// execute sends the packet that the action calls for.
+// execute sends the packet that the action calls for. buf holds the received
+// datagram with its headroom; a reset doesn't need it.
 func (s *Server) execute(buf, reply []byte, p *steering.Segment, a *steering.Action) {
 	var err error
 	switch a.Kind {
@@ -210,7 +211,10 @@
 		return
 	}
 	s.lastTick = now
-	s.cfg.Steering.Tick(now)
+	s.cfg.Steering.Tick(now, func(p *steering.Segment, a *steering.Action) {
+		s.execute(nil, s.reply, p, a)
+		s.cfg.Observer.Decided(now, p, a)
+	})
 	s.cutOff.Store(s.cfg.Steering.CutOff())
 	if now < s.lastPublish+publishInterval {
 		return
--- a/transport/gossip/gossip.go
+++ b/transport/gossip/gossip.go
@@ -39,8 +39,9 @@
 	Leaving() bool
 	// UnreachableZones returns the zones whose targets this host does not reach.
 	UnreachableZones() []string
-	// Loads returns this host's load on each target.
-	Loads() []gossip.TargetLoad
+	// Loads returns this host's load on each target, and the tokens of the targets
+	// that have just answered it.
+	Loads() (loads []gossip.TargetLoad, answers []uint32)
 	// HandleFeed receives changes that another host read from the store.
 	HandleFeed(f *gossip.Feed)
 	// ChangesSince returns the changes of the store after an index, nil if this
@@ -188,9 +189,9 @@
 // Local.
 func (e *Exchange) runRound() {
 	answers, leaving := e.cfg.Local.StoreAnswers(), e.cfg.Local.Leaving()
-	own := e.cfg.Local.Loads()
+	own, targetAnswers := e.cfg.Local.Loads()
 	heartbeat, err := gossip.Encode(&gossip.Message{
-		Kind: gossip.KindHeartbeat, From: e.cfg.Self, StoreAnswers: answers, Leaving: leaving, Loads: own,
+		Kind: gossip.KindHeartbeat, From: e.cfg.Self, StoreAnswers: answers, Leaving: leaving, Loads: own, Answers: targetAnswers,
 	})
 	if err != nil {
 		e.cfg.Log.Error().Str("event", "gossip_failed").Str("kind", string(gossip.KindHeartbeat)).Err(err).Send()
@@ -198,7 +199,7 @@
 	e.mu.Lock()
 	now := e.cfg.Clock()
 	helloDue := e.peers.HelloDue(now)
-	to := e.peers.NextRound(now, len(heartbeat), own)
+	to := e.peers.NextRound(now, len(heartbeat), own, targetAnswers)
 	seeds := e.seeds
 	contacts := e.zoneContacts()
 	prevReads, prevHosts := e.reads, e.hosts
@@ -211,7 +212,7 @@
 		ZoneAnswers: e.peers.ZoneAnswers(),
 	}
 	for token, l := range e.peers.Loads(now) {
-		loads.Targets[steering.Token(token)] = steering.TargetLoad{Open: l.Open, Busy: l.Busy, Silent: l.Silent, FastShare: float64(l.FastPercent) / percent}
+		loads.Targets[steering.Token(token)] = steering.TargetLoad{Open: l.Open, Busy: l.Busy, Unanswered: l.Unanswered, FastShare: float64(l.FastPercent) / percent}
 	}
 	e.mu.Unlock()
 	if hosts != prevHosts {
--- a/transport/gossip/gossip_test.go
+++ b/transport/gossip/gossip_test.go
@@ -52,8 +52,13 @@
 
 func (s *localStub) StoreAnswers() bool { s.mu.Lock(); defer s.mu.Unlock(); return s.answers }
 
-func (s *localStub) Leaving() bool              { s.mu.Lock(); defer s.mu.Unlock(); return s.leaving }
-func (s *localStub) Loads() []gossip.TargetLoad { s.mu.Lock(); defer s.mu.Unlock(); return s.loads }
+func (s *localStub) Leaving() bool { s.mu.Lock(); defer s.mu.Unlock(); return s.leaving }
+
+func (s *localStub) Loads() ([]gossip.TargetLoad, []uint32) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.loads, nil
+}
 
 func (s *localStub) HandleFeed(f *gossip.Feed) {
 	s.mu.Lock()
@@ -128,7 +133,7 @@
 	seed := startHost(t, "h0", "b")
 	hosts := []*testHost{startHost(t, "h1", "a", seed.addr), startHost(t, "h2", "a", seed.addr), startHost(t, "h3", "a", seed.addr)}
 	hosts[0].localStub.mu.Lock()
-	hosts[0].localStub.loads = []gossip.TargetLoad{{Token: 7, Open: 3, Busy: 2, Silent: 1, FastPercent: 50}}
+	hosts[0].localStub.loads = []gossip.TargetLoad{{Token: 7, Open: 3, Busy: 2, Unanswered: 1, FastPercent: 50}}
 	hosts[0].localStub.mu.Unlock()
 	eventually(t, "three hosts, one reader", func() bool {
 		readers := 0
@@ -146,7 +151,7 @@
 	eventually(t, "loads", func() bool {
 		hosts[1].localStub.mu.Lock()
 		defer hosts[1].localStub.mu.Unlock()
-		return hosts[1].peerLoads != nil && hosts[1].peerLoads.Targets[7] == steering.TargetLoad{Open: 3, Busy: 2, Silent: 1, FastShare: 0.5}
+		return hosts[1].peerLoads != nil && hosts[1].peerLoads.Targets[7] == steering.TargetLoad{Open: 3, Busy: 2, Unanswered: 1, FastShare: 0.5}
 	})
 	reader := hosts[0]
 	for _, h := range hosts {
