Pass fetched changes on once, and only as fresh as they are

A reply also made the view look fresh, though its sender's may be old.

Change: only the reply to a fetch is passed on, if it had something new, and it says how old the sender's knowledge is. TestOldChangesAreNotPassedOn.

--- a/internal/tokenhost/local.go
+++ b/internal/tokenhost/local.go
@@ -20,7 +20,13 @@
 func (l local) UnreachableZones() []string { return l.h.packets.Stats().UnreachableZones }
 
 // HandleFeed implements gossip.Local.
-func (l local) HandleFeed(f *wire.Feed) { l.h.follower.ApplyFeed(f) }
+func (l local) HandleFeed(f *wire.Feed, fetched bool) {
+	if fetched {
+		l.h.follower.ApplyFetched(f)
+		return
+	}
+	l.h.follower.ApplyFeed(f)
+}
 
 // ChangesSince implements gossip.Local.
 func (l local) ChangesSince(after store.Index) *wire.Feed { return l.h.follower.ChangesSince(after) }
--- a/protocol/gossip/gossip.go
+++ b/protocol/gossip/gossip.go
@@ -103,6 +103,9 @@
 	To      store.Index `cbor:"2,keyasint"`
 	Changes []Change    `cbor:"3,keyasint,omitempty"`
 	Partial bool        `cbor:"4,keyasint,omitempty"`
+	// AgeMS is the time in milliseconds since the sender last knew all changes, in
+	// the reply to a fetch. A feed is sent as soon as the store has answered.
+	AgeMS int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Change is the change of one key in the store.
--- a/transport/follow/feed.go
+++ b/transport/follow/feed.go
@@ -94,24 +94,26 @@
 	if !ok {
 		return nil
 	}
-	return &gossip.Feed{From: after, To: f.index, Changes: changes}
+	age := f.cfg.Clock() - f.completeTo
+	return &gossip.Feed{From: after, To: f.index, Changes: changes, AgeMS: age.Milliseconds()}
 }
 
 // Wake makes a host that waits for feeds check whether it reads the store now.
 func (f *Follower) Wake() { f.wake() }
 
-// ApplyFeed applies the changes that another host read from the store, and
-// passes them on if this host reads the store for its zone but got them from
-// another zone. A feed that is partial or leaves a gap makes this host request
-// the changes from another host or read the store itself.
-func (f *Follower) ApplyFeed(feed *gossip.Feed) {
-	if f.applyFeed(feed) {
+// ApplyFetched applies the reply to a fetch. If this host reads the store for its
+// zone and the reply has changes that it lacks, the zone gets them, too.
+func (f *Follower) ApplyFetched(feed *gossip.Feed) {
+	if f.ApplyFeed(feed) {
 		f.passOn(feed, "")
 	}
 }
 
-// applyFeed reports whether the feed brought this host up to date.
-func (f *Follower) applyFeed(feed *gossip.Feed) bool {
+// ApplyFeed applies the changes that another host read from the store. A feed
+// that is partial or leaves a gap makes this host request the changes from
+// another host or read the store itself. ApplyFeed reports whether this host
+// lacked any of the changes and knows them now.
+func (f *Follower) ApplyFeed(feed *gossip.Feed) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !f.listed || feed.To < f.index {
@@ -132,10 +134,12 @@
 			f.apply(store.Change{Entry: store.Entry{Key: c.Key, Value: c.Value, Revision: c.Revision}, Deleted: c.Deleted})
 		}
 	}
+	lacked := feed.To > f.index
 	f.recent.add(f.index, feed.To, feed.Changes)
-	f.advance(feed.To, f.cfg.Clock()-maxFeedDelay)
+	updated := f.cfg.Clock() - time.Duration(feed.AgeMS)*time.Millisecond
+	f.advance(feed.To, updated-maxFeedDelay, updated)
 	f.publish()
-	return true
+	return lacked
 }
 
 // Refresh makes this host read the store soon, at most once per
@@ -154,11 +158,11 @@
 }
 
 // advance records that all changes up to an index are known. They include all
-// writes made until the time completeTo.
-func (f *Follower) advance(index store.Index, completeTo time.Duration) {
+// writes made until the time completeTo, as the store said at the time updated.
+func (f *Follower) advance(index store.Index, completeTo, updated time.Duration) {
 	f.index = max(f.index, index)
 	f.completeTo = max(f.completeTo, completeTo)
-	f.lastUpdate = f.cfg.Clock()
+	f.lastUpdate = max(f.lastUpdate, updated)
 	f.missedFeed = ""
 }
 
@@ -189,7 +193,7 @@
 		}
 	}
 	f.recent.add(after, got.Index, feed.Changes)
-	f.advance(got.Index, start)
+	f.advance(got.Index, start, f.cfg.Clock())
 	f.publish()
 	return feed
 }
--- a/transport/follow/follow.go
+++ b/transport/follow/follow.go
@@ -236,7 +236,7 @@
 	f.applyTargetEntries(all.Entries)
 	f.index, f.listed, f.lastList = 0, true, f.cfg.Clock()
 	f.recent.reset(all.Index)
-	f.advance(all.Index, start)
+	f.advance(all.Index, start, f.cfg.Clock())
 	f.publish()
 	f.cfg.Log.Info().Str("event", "store_listed").Int("entries", len(all.Entries)).Uint64("revision", uint64(all.Index)).Send()
 	return nil
--- a/transport/follow/follow_test.go
+++ b/transport/follow/follow_test.go
@@ -388,7 +388,7 @@
 	reader.cfg.Feed = x.feed
 	is.NoErr(reader.read(context.Background(), ReasonReader))
 	x.peers.set(false)
-	x.peers.fetched = func(after store.Index) { x.ApplyFeed(reader.ChangesSince(after)) }
+	x.peers.fetched = func(after store.Index) { x.ApplyFetched(reader.ChangesSince(after)) }
 	x.start(t)
 	eventually(t, "first view", func() bool { return x.lastView() != nil })
 	x.feed.put("t/2", "1")
@@ -424,7 +424,7 @@
 	x.feed.fail(&store.Error{Op: store.OpChanges, Kind: store.Overloaded})
 	x.peers.mu.Lock()
 	x.peers.fetched = func(after store.Index) {
-		x.ApplyFeed(&gossip.Feed{From: after, To: 3, Changes: []gossip.Change{{Key: "t/2", Value: []byte("1"), Revision: 3}}})
+		x.ApplyFetched(&gossip.Feed{From: after, To: 3, Changes: []gossip.Change{{Key: "t/2", Value: []byte("1"), Revision: 3}}})
 	}
 	x.peers.mu.Unlock()
 	eventually(t, "changed view", func() bool { return len(x.lastView().Targets) == 2 })
@@ -482,3 +482,23 @@
 	_, ok := log.since(index)
 	is.True(!ok) // a gap
 }
+
+// Guards against hosts that send each other the same changes for ever while the
+// store refuses all of them: a reply without news is not passed on. It also must
+// not make the view look fresher than the sender's was.
+func TestOldChangesAreNotPassedOn(t *testing.T) {
+	is := is.New(t)
+	x := newFixture(time.Hour)
+	is.NoErr(x.read(context.Background(), ReasonReader))
+	complete, updated := x.completeTo, x.lastUpdate
+	x.ApplyFetched(&gossip.Feed{From: 2, To: 2, AgeMS: 60_000})
+	is.Equal(len(x.peers.sent), 0)
+	is.Equal(x.completeTo, complete)
+	is.Equal(x.lastUpdate, updated)
+	time.Sleep(20 * time.Millisecond)
+	is.True(x.ChangesSince(2).AgeMS >= 20) // not the reader's own feed
+	is.Equal(x.ChangesSince(3), nil)       // not known yet
+	x.ApplyFetched(&gossip.Feed{From: 2, To: 4})
+	is.Equal(len(x.peers.sent), 1)
+	is.True(x.lastUpdate > updated)
+}
--- a/transport/gossip/gossip.go
+++ b/transport/gossip/gossip.go
@@ -42,8 +42,9 @@
 	// Loads returns this host's load on each target, and the tokens of the targets
 	// that have just answered it.
 	Loads() (loads []gossip.TargetLoad, answers []uint32)
-	// HandleFeed receives changes that another host read from the store.
-	HandleFeed(f *gossip.Feed)
+	// HandleFeed receives changes that another host read from the store; fetched is
+	// set if they are the reply to a fetch.
+	HandleFeed(f *gossip.Feed, fetched bool)
 	// ChangesSince returns the changes of the store after an index, nil if this
 	// host doesn't know all of them.
 	ChangesSince(after store.Index) *gossip.Feed
@@ -153,7 +154,7 @@
 	case m.Kind == gossip.KindHello:
 		e.send(&gossip.Message{Kind: gossip.KindHelloReply, From: e.cfg.Self, KnownHosts: known}, from)
 	case m.Feed != nil && (m.Kind == gossip.KindFetchReply || (m.Kind == gossip.KindFeed && m.From.Zone == e.cfg.Self.Zone)):
-		e.cfg.Local.HandleFeed(m.Feed)
+		e.cfg.Local.HandleFeed(m.Feed, m.Kind == gossip.KindFetchReply)
 	case m.Kind == gossip.KindFetch:
 		e.replyToFetch(m.After, from)
 	}
--- a/transport/gossip/gossip_test.go
+++ b/transport/gossip/gossip_test.go
@@ -60,7 +60,7 @@
 	return s.loads, nil
 }
 
-func (s *localStub) HandleFeed(f *gossip.Feed) {
+func (s *localStub) HandleFeed(f *gossip.Feed, _ bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.feeds = append(s.feeds, *f)
