Feed what a list of the store changes, and tell a zone of an outage

And hosts that make no calls do not notice an outage of the store: entries that expired in it would have counted as gone at once, and flows of living targets would have been reset.

Change: a reader that lists passes on what the list changes, with the entries that are no longer in it as deleted. Digests say whether the store answers the reader; hosts count as in an outage until a feed follows.

TestListIsPassedOnAsAFeed, TestReaderTellsOfAnOutage (which also shows the target gone without the word of the reader).

--- a/coordination/fleet/directory.go
+++ b/coordination/fleet/directory.go
@@ -293,6 +293,17 @@
 	return gone
 }
 
+// TargetKeys returns the keys of the targets that are not gone.
+func (d *Directory) TargetKeys() []TargetKey {
+	var keys []TargetKey
+	for key, e := range d.targets {
+		if !e.Gone {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
 // View returns a new view if anything has changed since the last one, else nil.
 func (d *Directory) View() *View {
 	if !d.changed {
--- a/internal/tokenhost/local.go
+++ b/internal/tokenhost/local.go
@@ -28,6 +28,9 @@
 	l.h.follower.ApplyFeed(f)
 }
 
+// HandleReaderStore implements gossip.Local.
+func (l local) HandleReaderStore(answers bool) { l.h.follower.SetReaderStore(answers) }
+
 // ChangesSince implements gossip.Local.
 func (l local) ChangesSince(after store.Index) *wire.Feed { return l.h.follower.ChangesSince(after) }
 
--- a/transport/follow/feed.go
+++ b/transport/follow/feed.go
@@ -98,6 +98,20 @@
 	return &gossip.Feed{From: after, To: f.index, Changes: changes, AgeMS: age.Milliseconds()}
 }
 
+// SetReaderStore records whether the store answers the zone's reader. What the
+// store says after an outage may lack entries that expired meanwhile; a host that
+// made no call during the outage learns of it from the reader.
+func (f *Follower) SetReaderStore(answers bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case answers && f.dir.StoreRegained(f.cfg.Clock()):
+		f.cfg.Log.Info().Str("event", "store_regained").Bool("by_reader", true).Send()
+	case !answers && f.dir.StoreLost():
+		f.cfg.Log.Warn().Str("event", "store_lost").Bool("by_reader", true).Send()
+	}
+}
+
 // Wake makes a host that waits for feeds check whether it reads the store now.
 func (f *Follower) Wake() { f.wake() }
 
--- a/transport/follow/follow.go
+++ b/transport/follow/follow.go
@@ -125,6 +125,8 @@
 	// rejected maps each entry that can't be decoded to its error, so that it is
 	// logged once.
 	rejected map[store.Key]string
+	// operatorKeys are the operator's entries that the store holds.
+	operatorKeys map[store.Key]bool
 }
 
 // Stats are the totals and the state of a Follower, for metrics.
@@ -149,7 +151,7 @@
 		cfg.PollInterval = DefaultPollInterval
 	}
 	return &Follower{
-		cfg: cfg, dir: fleet.NewDirectory(), rejected: map[store.Key]string{}, wakeup: make(chan struct{}, 1),
+		cfg: cfg, dir: fleet.NewDirectory(), rejected: map[store.Key]string{}, operatorKeys: map[store.Key]bool{}, wakeup: make(chan struct{}, 1),
 		stats: Stats{Calls: map[Call]uint64{}, Failures: map[store.Kind]uint64{}},
 	}
 }
@@ -219,27 +221,44 @@
 	if listed {
 		return f.readChanges(ctx, index, reason)
 	}
-	return f.list(ctx)
+	return f.list(ctx, reason)
 }
 
-// list reads all entries, in one call if they fit into a page of the store.
-func (f *Follower) list(ctx context.Context) error {
+// list reads all entries, in one call if they fit into a page of the store. It
+// sends what has changed since the last read to the other hosts of the zone if
+// this host is their reader.
+func (f *Follower) list(ctx context.Context, reason Reason) error {
 	start := f.cfg.Clock()
 	all, err := f.cfg.Feed.List(ctx, "")
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	if err != nil {
 		return err
 	}
+	f.passOn(f.applyList(start, all), reason)
+	return nil
+}
+
+// applyList applies all entries, read by a call that began at start. It returns
+// the changes since the last read as a feed, nil at the first read.
+func (f *Follower) applyList(start time.Duration, all store.Snapshot) *gossip.Feed {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.recordSuccess()
+	var feed *gossip.Feed
+	if f.index > 0 && all.Index >= f.index {
+		feed = &gossip.Feed{From: f.index, To: all.Index, Changes: f.changesInList(all)}
+	}
 	f.applyOperatorEntries(all.Entries)
 	f.applyTargetEntries(all.Entries)
 	f.index, f.listed, f.lastList = 0, true, f.cfg.Clock()
-	f.recent.reset(all.Index)
+	if feed != nil {
+		f.recent.add(feed.From, feed.To, feed.Changes)
+	} else {
+		f.recent.reset(all.Index)
+	}
 	f.advance(all.Index, start, f.cfg.Clock())
 	f.publish()
 	f.cfg.Log.Info().Str("event", "store_listed").Int("entries", len(all.Entries)).Uint64("revision", uint64(all.Index)).Send()
-	return nil
+	return feed
 }
 
 // readChanges reads the changes after an index and sends them to the other
--- a/transport/follow/follow_test.go
+++ b/transport/follow/follow_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -67,6 +68,14 @@
 	return c
 }
 
+func (f *feed) remove(key string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.index++
+	f.entries = slices.DeleteFunc(f.entries, func(e store.Entry) bool { return e.Key == store.Key(key) })
+	f.changes = append(f.changes, store.Change{Entry: store.Entry{Key: store.Key(key), Revision: store.Revision(f.index)}, Deleted: true})
+}
+
 func (f *feed) fail(err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -502,3 +511,46 @@
 	is.Equal(len(x.peers.sent), 1)
 	is.True(x.lastUpdate > updated)
 }
+
+// Guards against a list by every host of a zone after the store has lost its
+// history: the reader passes on what its own list changes.
+func TestListIsPassedOnAsAFeed(t *testing.T) {
+	is := is.New(t)
+	reader, other := newFixture(time.Hour), newFixture(time.Hour)
+	other.cfg.Feed = reader.feed
+	x := reader.feed
+	x.put("o/zone/b", "out")
+	is.NoErr(reader.read(context.Background(), ReasonReader))
+	is.NoErr(other.read(context.Background(), ReasonReader))
+	x.remove("t/1")
+	x.remove("o/zone/b")
+	x.put("t/2", "1")
+	reader.recordFailure(&store.Error{Op: store.OpChanges, Kind: store.HistoryLost})
+	is.NoErr(reader.read(context.Background(), ReasonHistoryLost))
+	is.Equal(len(reader.peers.sent), 1)
+	is.True(other.ApplyFeed(&reader.peers.sent[0]))
+	is.Equal(other.lastView().Targets[0].Gone, true)
+	is.Equal(other.lastView().Targets[1].Key, fleet.TargetKey("2"))
+	is.Equal(len(other.lastView().ZonesOut), 0)
+	is.Equal(other.index, reader.index)
+	changes := other.ChangesSince(3)
+	is.Equal(len(changes.Changes), 3) // those of the list are in the log, too
+}
+
+// Guards against flows that are ended after an outage of the store of which a
+// host did not know, as only the reader calls the store: entries that expired in
+// it are missing, not gone, until their targets had time to write them again.
+func TestReaderTellsOfAnOutage(t *testing.T) {
+	for _, told := range []bool{true, false} {
+		is := is.New(t)
+		x := newFixture(time.Hour)
+		is.NoErr(x.read(context.Background(), ReasonReader))
+		if told {
+			x.SetReaderStore(false)
+			x.SetReaderStore(true)
+		}
+		x.ApplyFeed(&gossip.Feed{From: 2, To: 3, Changes: []gossip.Change{{Key: "t/1", Revision: 3, Deleted: true}}})
+		is.Equal(x.lastView().Targets[0].Missing, told)
+		is.Equal(x.lastView().Targets[0].Gone, !told)
+	}
+}
--- a/transport/gossip/gossip.go
+++ b/transport/gossip/gossip.go
@@ -45,6 +45,8 @@
 	// HandleFeed receives changes that another host read from the store; fetched is
 	// set if they are the reply to a fetch.
 	HandleFeed(f *gossip.Feed, fetched bool)
+	// HandleReaderStore receives whether the store answers the zone's reader.
+	HandleReaderStore(answers bool)
 	// ChangesSince returns the changes of the store after an index, nil if this
 	// host doesn't know all of them.
 	ChangesSince(after store.Index) *gossip.Feed
@@ -153,8 +155,14 @@
 	switch {
 	case m.Kind == gossip.KindHello:
 		e.send(&gossip.Message{Kind: gossip.KindHelloReply, From: e.cfg.Self, KnownHosts: known}, from)
+	case m.Kind == gossip.KindDigest && m.From.Zone == e.cfg.Self.Zone && !m.StoreAnswers:
+		e.cfg.Local.HandleReaderStore(false) // a feed shows that the store answers again
 	case m.Feed != nil && (m.Kind == gossip.KindFetchReply || (m.Kind == gossip.KindFeed && m.From.Zone == e.cfg.Self.Zone)):
-		e.cfg.Local.HandleFeed(m.Feed, m.Kind == gossip.KindFetchReply)
+		fetched := m.Kind == gossip.KindFetchReply
+		if !fetched && m.StoreAnswers {
+			e.cfg.Local.HandleReaderStore(true)
+		}
+		e.cfg.Local.HandleFeed(m.Feed, fetched)
 	case m.Kind == gossip.KindFetch:
 		e.replyToFetch(m.After, from)
 	}
--- a/transport/gossip/gossip_test.go
+++ b/transport/gossip/gossip_test.go
@@ -31,6 +31,8 @@
 	unreachable []string
 	// changes is what ChangesSince returns.
 	changes *gossip.Feed
+	// readerStore holds what HandleReaderStore received.
+	readerStore []bool
 }
 
 func (s *localStub) ChangesSince(after store.Index) *gossip.Feed {
@@ -44,6 +46,12 @@
 
 func (s *localStub) HandleReader() {}
 
+func (s *localStub) HandleReaderStore(answers bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.readerStore = append(s.readerStore, answers)
+}
+
 func (s *localStub) UnreachableZones() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
