Choose between two targets in a large zone

Change: in a zone of more than eight hosts each flow has two targets of its own zone to choose from, by its hash, as long as one has a free slot.

--- a/coordination/steering/place.go
+++ b/coordination/steering/place.go
@@ -48,12 +48,15 @@
 }
 
 // lowestCost returns the target with the lowest cost, or nil and the reason why
-// there is none.
+// there is none. In a large zone it compares a few targets, chosen by the flow's
+// hash, as long as one of them has a free slot.
 func (s *Steering) lowestCost(now time.Duration, pl *pool, p *Segment, former *target) (*target, Cause) {
 	hash := p.Flow.Hash()
 	limit := s.queueLimit(p.Copy)
 	var best *target
 	var bestCost float64
+	var sampled sample
+	sampling := s.peerLoads != nil && s.peerLoads.Hosts > maxComparingHosts
 	cause := CauseNoTarget
 	for _, t := range pl.targets {
 		if !t.eligible() || (pl.limits.Connections > 0 && t.open+t.peersOpen >= pl.limits.Connections) {
@@ -71,6 +74,12 @@
 		if best == nil || cost < bestCost {
 			best, bestCost = t, cost
 		}
+		if sampling && cost < freeSlotCost {
+			sampled.add(t, cost, rendezvous.Mix(hash, t.entry.Number))
+		}
+	}
+	if t := sampled.cheapest(); t != nil {
+		return t, cause
 	}
 	return best, cause
 }
--- /dev/null
+++ b/coordination/steering/sample.go
@@ -0,0 +1,53 @@
+package steering
+
+// Placement in a large zone. The load pattern: many callers open flows within the
+// time between two reports of the hosts' loads, for example after a zone has
+// failed. All hosts of the zone know the same loads, so if each of them selected
+// the least loaded target, all would select the same one. Each flow therefore has
+// a few targets to choose from, by its hash: the power of two random choices.
+
+const (
+	// maxComparingHosts is the largest number of hosts in a zone whose hosts
+	// compare all targets. A host of a small zone places enough flows itself for
+	// its view to be up to date.
+	maxComparingHosts = 8
+	// freeSlotCost is the cost below which a target of the own zone answers and
+	// has a free slot.
+	freeSlotCost = 1.0
+	// sampleSize is the number of targets that a flow chooses from.
+	sampleSize = 2
+)
+
+// sample holds the targets with the highest ranks. The zero value is empty.
+type sample struct {
+	targets [sampleSize]*target
+	costs   [sampleSize]float64
+	ranks   [sampleSize]uint64
+}
+
+// add adds a target unless enough others rank higher.
+func (s *sample) add(t *target, cost float64, rank uint64) {
+	for i := range s.targets {
+		if s.targets[i] != nil && s.ranks[i] >= rank {
+			continue
+		}
+		t, s.targets[i] = s.targets[i], t
+		cost, s.costs[i] = s.costs[i], cost
+		rank, s.ranks[i] = s.ranks[i], rank
+		if t == nil {
+			return
+		}
+	}
+}
+
+// cheapest returns the target with the lowest cost, nil if there is none.
+func (s *sample) cheapest() *target {
+	var best *target
+	var bestCost float64
+	for i, t := range s.targets {
+		if t != nil && (best == nil || s.costs[i] < bestCost) {
+			best, bestCost = t, s.costs[i]
+		}
+	}
+	return best
+}
