Compare targets with the reader's, and let the reader try the store alone

Read in the code: a host that saw an entry expire and had its return left out of a feed, because it was a mere heartbeat to the reader, counts the target as gone after 2.5 s. Feeds carry a checksum of the sender's targets now; a host with another one lists the store. TestDifferentTargetsAreListedAgain brings the case about.

While a reader sends digests, hosts wait 10 s for a feed and take over in turn. Calls are not measured yet.

--- a/coordination/fleet/directory.go
+++ b/coordination/fleet/directory.go
@@ -2,9 +2,12 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/zeebo/xxh3"
 )
 
 const (
@@ -304,6 +307,18 @@
 	return keys
 }
 
+// Checksum returns a checksum of the targets that have a usable entry in the
+// store. Directories with the same entries have the same checksum.
+func (d *Directory) Checksum() uint64 {
+	var sum uint64
+	for key, e := range d.targets {
+		if !e.Gone && !e.Missing {
+			sum ^= xxh3.HashString(fmt.Sprintf("%s/%d/%t", key, e.Started, e.Draining))
+		}
+	}
+	return sum
+}
+
 // View returns a new view if anything has changed since the last one, else nil.
 func (d *Directory) View() *View {
 	if !d.changed {
--- a/coordination/peers/reader.go
+++ b/coordination/peers/reader.go
@@ -24,7 +24,10 @@
 	// digest of the first one reaches the second within it.
 	takeoverStep = HeartbeatInterval / 2
 	// maxTakeoverSteps bounds the wait of the last hosts in the order.
-	maxTakeoverSteps = 20
+	maxTakeoverSteps = 60
+	// maxFeedWait is how long hosts wait for a feed while a reader sends digests:
+	// it tries to reach the store, and others take over from it in turn.
+	maxFeedWait = 10 * time.Second
 	// unableDelay is how much longer a host waits whose store does not answer.
 	unableDelay = time.Second
 	// maxFetchHosts bounds the hosts of other zones that get one fetch.
@@ -164,9 +167,12 @@
 
 // FeedWait returns how much longer than the first host of the zone this one
 // waits for a missing feed before it reads the store itself.
-func (p *Peers) FeedWait() time.Duration {
-	if !p.large() {
+func (p *Peers) FeedWait(now time.Duration) time.Duration {
+	switch {
+	case !p.large():
 		return 0
+	case p.reader(now) != nil:
+		return maxFeedWait
 	}
 	return digestTimeout + p.takeoverWait()
 }
--- a/protocol/gossip/gossip.go
+++ b/protocol/gossip/gossip.go
@@ -106,6 +106,9 @@
 	// AgeMS is the time in milliseconds since the sender last knew all changes, in
 	// the reply to a fetch. A feed is sent as soon as the store has answered.
 	AgeMS int64 `cbor:"5,keyasint,omitempty"`
+	// Checksum is the checksum of the sender's targets at index To, 0 if it sends
+	// none. A receiver with another one has missed a change.
+	Checksum uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Change is the change of one key in the store.
--- a/transport/follow/calls.go
+++ b/transport/follow/calls.go
@@ -22,6 +22,9 @@
 	ReasonMissedFeed Reason = "missed-feed"
 	// ReasonPartialFeed is a call because a feed was too long to be sent.
 	ReasonPartialFeed Reason = "partial-feed"
+	// ReasonMismatch lists all entries because the targets of this host differ from
+	// those of the zone's reader at the same index.
+	ReasonMismatch Reason = "mismatch"
 	// ReasonUnknownToken is a call because of a packet whose token matches no
 	// target.
 	ReasonUnknownToken Reason = "unknown-token"
--- a/transport/follow/feed.go
+++ b/transport/follow/feed.go
@@ -95,7 +95,7 @@
 		return nil
 	}
 	age := f.cfg.Clock() - f.completeTo
-	return &gossip.Feed{From: after, To: f.index, Changes: changes, AgeMS: age.Milliseconds()}
+	return &gossip.Feed{From: after, To: f.index, Changes: changes, AgeMS: age.Milliseconds(), Checksum: f.dir.Checksum()}
 }
 
 // SetReaderStore records whether the store answers the zone's reader. What the
@@ -153,9 +153,27 @@
 	updated := f.cfg.Clock() - time.Duration(feed.AgeMS)*time.Millisecond
 	f.advance(feed.To, updated-maxFeedDelay, updated)
 	f.publish()
+	f.compareTargets(feed)
 	return lacked
 }
 
+// compareTargets makes this host list all entries if its targets differ from the
+// sender's at the same index. What a feed leaves out as a heartbeat depends on
+// what its sender knew; a wrong omission would end the flows of a living target.
+func (f *Follower) compareTargets(feed *gossip.Feed) {
+	if feed.Checksum == 0 || feed.To != f.index || feed.Checksum == f.dir.Checksum() {
+		return
+	}
+	now := f.cfg.Clock()
+	if f.hasMismatch && now < f.lastMismatch+minMismatchInterval {
+		return
+	}
+	f.lastMismatch, f.hasMismatch = now, true
+	f.cfg.Log.Warn().Str("event", "targets_mismatch").Uint64("revision", uint64(f.index)).Send()
+	f.listed = false
+	f.missedFeed = ReasonMismatch
+}
+
 // Refresh makes this host read the store soon, at most once per
 // minRefreshInterval. It is called when a packet carries a token that matches no
 // target of the host's view.
@@ -209,5 +227,6 @@
 	f.recent.add(after, got.Index, feed.Changes)
 	f.advance(got.Index, start, f.cfg.Clock())
 	f.publish()
+	feed.Checksum = f.dir.Checksum()
 	return feed
 }
--- a/transport/follow/follow.go
+++ b/transport/follow/follow.go
@@ -50,6 +50,8 @@
 	maxFeedDelay = time.Second
 	// minRefreshInterval limits the rate of reads caused by Refresh.
 	minRefreshInterval = time.Second
+	// minMismatchInterval limits the rate of lists because of a mismatch.
+	minMismatchInterval = 5 * time.Second
 	// missedFeedJitter spreads the reads of hosts that missed the same feed.
 	missedFeedJitter = 150 * time.Millisecond
 )
@@ -113,6 +115,10 @@
 	missedFeed Reason
 	// lastRefresh is when Refresh last caused a read.
 	lastRefresh time.Duration
+	// lastMismatch is when this host's targets last differed from the reader's,
+	// valid if hasMismatch is set.
+	lastMismatch time.Duration
+	hasMismatch  bool
 	// lastFailure is the time of the last failed call, valid if hasFailed is
 	// set; lastList is the time of the last full list.
 	lastFailure time.Duration
@@ -258,6 +264,9 @@
 	f.advance(all.Index, start, f.cfg.Clock())
 	f.publish()
 	f.cfg.Log.Info().Str("event", "store_listed").Int("entries", len(all.Entries)).Uint64("revision", uint64(all.Index)).Send()
+	if feed != nil {
+		feed.Checksum = f.dir.Checksum()
+	}
 	return feed
 }
 
--- a/transport/follow/follow_test.go
+++ b/transport/follow/follow_test.go
@@ -554,3 +554,27 @@
 		is.Equal(x.lastView().Targets[0].Gone, !told)
 	}
 }
+
+// Guards against a living target that counts as gone at one host, whose open
+// flows were then reset: the host had seen the entry expire, while the reader had
+// not and left its return out of the feed as a mere heartbeat.
+func TestDifferentTargetsAreListedAgain(t *testing.T) {
+	is := is.New(t)
+	x := newFixture(time.Millisecond)
+	x.peers.set(false)
+	x.start(t)
+	eventually(t, "first view", func() bool { return x.lastView() != nil })
+	reader := newFixture(time.Hour)
+	reader.cfg.Feed = x.feed
+	is.NoErr(reader.read(context.Background(), ReasonReader))
+	x.SetReaderStore(false)
+	x.ApplyFeed(&gossip.Feed{From: 2, To: 3, Changes: []gossip.Change{{Key: "t/1", Revision: 3, Deleted: true}}})
+	is.True(x.lastView().Targets[0].Missing)
+	x.feed.put("t/1", "1")
+	x.feed.put("t/1", "1")
+	is.NoErr(reader.read(context.Background(), ReasonReader))
+	is.Equal(len(reader.peers.sent[0].Changes), 0) // to the reader these are heartbeats
+	x.ApplyFeed(&reader.peers.sent[0])
+	eventually(t, "the target is back", func() bool { return !x.lastView().Targets[0].Missing })
+	is.Equal(x.Stats().Calls[Call{store.OpList, ReasonMismatch}], uint64(1))
+}
--- a/transport/gossip/gossip.go
+++ b/transport/gossip/gossip.go
@@ -324,7 +324,7 @@
 func (e *Exchange) FeedWait() time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.peers.FeedWait()
+	return e.peers.FeedWait(e.cfg.Clock())
 }
 
 func addrs(hosts []gossip.Host) []netip.AddrPort {
