Give up flows of a lost zone, and of dead targets at their first packet

At dead targets a request waited for its caller's second retransmission even when the target was known to be dead.

Change: requests on flows of a dead target are reset when their first packet arrives. TestFlowsOfLostZoneAreGivenUp.

--- a/coordination/steering/deadflows.go
+++ b/coordination/steering/deadflows.go
@@ -11,14 +11,16 @@
 // callers wait for their answers. Callers retransmit at growing intervals, so the
 // packet that would be answered with a reset may come long after the target is
 // known to be dead, or after the caller's deadline. Idempotent requests can be
-// sent elsewhere, so their flows are reset as soon as the evidence suffices. In a
-// large zone each host sees few flows of a target; the evidence is therefore
-// summed over the hosts of the zone.
+// sent elsewhere, so their flows are reset as soon as the evidence suffices, and
+// the flows of requests that follow at once. In a large zone each host sees few
+// flows of a target; the evidence is therefore summed over the hosts of the zone.
+// Flows of a zone that was lost with its hosts reach hosts that have seen nothing
+// of them; the evidence about the zone's path serves for them.
 
-// givesUp reports whether a flow that waits for an answer is to be reset because
-// its target is dead.
-func (s *Steering) givesUp(now time.Duration, r *route, f *flow) bool {
-	return r.idempotent && f.awaiting && f.target.health.dead(now, now-f.pendingSince, f.target.peersUnanswered)
+// givesUp reports whether a flow of the route that waits for an answer of the
+// target is to be reset: the target is dead, or its zone is unreachable for long.
+func (s *Steering) givesUp(now time.Duration, r *route, t *target) bool {
+	return r.idempotent && (t.health.dead(now, t.peersUnanswered) || t.path.lost(now))
 }
 
 // confirmSilences marks the targets as silent that left flows unanswered at this
@@ -34,11 +36,11 @@
 // resetDeadFlows resets the flows that wait for the answers of dead targets.
 func (s *Steering) resetDeadFlows(now time.Duration, reset func(*Segment, *Action)) {
 	for key, f := range s.flows {
-		if f.target == nil || !f.retransmitted {
+		if f.target == nil || !f.awaiting {
 			continue
 		}
 		r := s.routes[key.Service]
-		if r == nil || !s.givesUp(now, r, f) {
+		if r == nil || !s.givesUp(now, r, f.target) {
 			continue
 		}
 		if !s.mostTargetsAnswer(now) {
--- a/coordination/steering/flows.go
+++ b/coordination/steering/flows.go
@@ -63,12 +63,6 @@
 // seqAfter reports whether sequence number a is after b (RFC 9293, 3.4).
 func seqAfter(a, b uint32) bool { return int32(a-b) > 0 }
 
-// retransmitsAgain reports whether a packet retransmits data that was
-// retransmitted before, still without an acknowledgement.
-func (f *flow) retransmitsAgain(p *Segment) bool {
-	return f.retransmitted && len(p.Payload) > 0 && !seqAfter(p.Seq+uint32(len(p.Payload)), f.nextSeq) && !seqAfter(p.Ack, f.ack)
-}
-
 // ensureFlow returns the state of a flow and creates it if there is none.
 func (s *Steering) ensureFlow(key packet.Flow) *flow {
 	f := s.flows[key]
--- a/coordination/steering/health.go
+++ b/coordination/steering/health.go
@@ -16,13 +16,10 @@
 	// hosts on, these confirm that the silence is not this host's own.
 	minDeadFlows       = 3
 	minConfirmingFlows = 2
-	// minDeadSilence is how long the target has to be silent before a flow is
+	// minDeadSilence is how long the target has to be silent before its flows are
 	// given up: longer than congestion of this host's link lasts. It counts from
 	// the verdict, or from the oldest unanswered data if other hosts confirm it.
-	// minDeadWait is how long the flow itself has to wait: until its caller's
-	// second retransmission.
 	minDeadSilence = 700 * time.Millisecond
-	minDeadWait    = 500 * time.Millisecond
 	// unansweredWindow and answerWindow are how old the last unanswered flow and
 	// the last answer may be to count as recent.
 	unansweredWindow = time.Second
@@ -134,17 +131,16 @@
 	return first
 }
 
-// dead reports whether a flow that has waited for the given time is to be given
-// up: the target has been silent for long, several flows confirm it, and one of
-// this host went unanswered recently. others is the number of unanswered flows at
-// other hosts.
-func (h *health) dead(now, waited time.Duration, others int) bool {
+// dead reports whether the target's flows are to be given up: it has been silent
+// for long, several flows confirm it, and one of this host went unanswered
+// recently. others is the number of unanswered flows at other hosts.
+func (h *health) dead(now time.Duration, others int) bool {
 	since := h.silentSince
 	if others >= minConfirmingFlows {
 		since = h.unansweredSince
 	}
 	return h.silent && h.unansweredFlows > 0 && h.unansweredFlows+others >= minDeadFlows &&
-		now-since >= minDeadSilence && now-h.lastUnanswered < unansweredWindow && waited >= minDeadWait
+		now-since >= minDeadSilence && now-h.lastUnanswered < unansweredWindow
 }
 
 // answering reports whether the target answered recently.
--- a/coordination/steering/loads.go
+++ b/coordination/steering/loads.go
@@ -40,8 +40,11 @@
 	// others.
 	Settled bool
 	Targets map[Token]TargetLoad
-	// ZoneAnswers holds when a host of each other zone last answered this host.
-	ZoneAnswers map[string]time.Duration
+	// QueriedZones are the zones whose hosts were queried in the last round,
+	// because their targets were unreachable. ZoneAnswers holds when a host of each
+	// zone last answered this host.
+	QueriedZones []string
+	ZoneAnswers  map[string]time.Duration
 }
 
 // SetPeerLoads replaces the loads reported by the other hosts.
--- a/coordination/steering/observe.go
+++ b/coordination/steering/observe.go
@@ -7,19 +7,21 @@
 )
 
 // mostTargetsAnswer reports whether at least twice as many targets answer this
-// host as are unresponsive. If so, an unresponsive target is likely down
-// itself, rather than this host's network.
+// host as are unresponsive, and at least one does. If so, an unresponsive target
+// is likely down itself, rather than this host's network. The targets of
+// unreachable zones don't count: their silence has one cause.
 func (s *Steering) mostTargetsAnswer(now time.Duration) bool {
 	answering, unresponsive := 0, 0
 	for _, t := range s.targets {
 		switch {
+		case t.path.unreachable:
 		case t.health.unresponsive(now):
 			unresponsive++
 		case t.health.answering(now):
 			answering++
 		}
 	}
-	return answering >= 2*unresponsive
+	return answering > 0 && answering >= 2*unresponsive
 }
 
 // answeredSinceGone reports whether callers saw answers of a target after its
--- a/coordination/steering/reachability.go
+++ b/coordination/steering/reachability.go
@@ -19,6 +19,9 @@
 	// another zone is unreachable already. A zone with fewer eligible targets
 	// needs all of them.
 	minUnansweredTargets = 3
+	// minQueryTime is how long the zone's hosts have to leave queries unanswered
+	// before flows are given up: two rounds of queries.
+	minQueryTime = 400 * time.Millisecond
 	// maxUnreachableHold is how long a zone counts as unreachable without new
 	// evidence. A host that is not ready gets no packets that could show that its
 	// targets answer again.
@@ -47,6 +50,20 @@
 	// unreachable.
 	unreachable      bool
 	unreachableSince time.Duration
+	// lastUnanswered is when a flow at a target of the zone last went unanswered.
+	lastUnanswered time.Duration
+	// queriedSince is since when hosts of the unreachable zone are queried without
+	// an answer, 0 if they are not.
+	queriedSince time.Duration
+}
+
+// lost reports whether flows at the zone's targets are to be given up: none of
+// them has answered for long, one left a flow unanswered recently, and the zone's
+// hosts do not answer either. A few targets of the zone may be dead while others
+// live that this host has sent nothing to.
+func (z *zonePath) lost(now time.Duration) bool {
+	return z.unreachable && now-z.lastProgress >= minDeadSilence && now-z.lastUnanswered < unansweredWindow &&
+		z.queriedSince > 0 && now-z.queriedSince >= minQueryTime
 }
 
 // pathTo returns the path to a zone and creates it if there is none.
@@ -70,13 +87,14 @@
 	if !path.unreachable {
 		return
 	}
-	path.unreachable = false
+	path.unreachable, path.queriedSince = false, 0
 	s.notifyZone(ZoneEvent{Zone: path.zone, Reachable: true})
 }
 
 // judgePath decides whether a zone is unreachable after one of its targets left
 // a flow unanswered.
 func (s *Steering) judgePath(now time.Duration, path *zonePath) {
+	path.lastUnanswered = now
 	silence := now - path.lastProgress
 	if path.unreachable || silence < pathTimeout {
 		return
@@ -109,10 +127,15 @@
 	return minUnansweredTargets
 }
 
-// SetZoneAnswers tells when a host of each zone last answered this host. A zone
-// whose hosts answer is reachable: its targets are judged one by one again and
-// tried at once.
-func (s *Steering) SetZoneAnswers(now time.Duration, answers map[string]time.Duration) {
+// SetZoneQueries tells the zones whose hosts have just been queried, and when a
+// host of each zone last answered. A zone whose hosts answer is reachable: its
+// targets are judged one by one again and tried at once.
+func (s *Steering) SetZoneQueries(now time.Duration, queried []string, answers map[string]time.Duration) {
+	for _, zone := range queried {
+		if path := s.paths[zone]; path != nil && path.unreachable && path.queriedSince == 0 {
+			path.queriedSince = now
+		}
+	}
 	for zone, at := range answers {
 		path := s.paths[zone]
 		if path == nil || !path.unreachable || at <= path.unreachableSince {
--- a/coordination/steering/reachability_test.go
+++ b/coordination/steering/reachability_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"github.com/jujubehaven/jujubehaven/coordination/fleet"
+	"github.com/jujubehaven/jujubehaven/protocol/packet"
 )
 
 // cutAt is when the replays below cut zone b off, callersPerSecond the rate of
@@ -103,15 +104,15 @@
 			c.confirm()
 		}, true},
 		"a host of the zone answered before": {func(w *fixture) {
-			w.SetZoneAnswers(w.now, map[string]time.Duration{"b": w.now - time.Millisecond})
+			w.SetZoneQueries(w.now, nil, map[string]time.Duration{"b": w.now - time.Millisecond})
 		}, false},
 		"a host of the zone answers": {func(w *fixture) {
 			w.now += time.Second
-			w.SetZoneAnswers(w.now, map[string]time.Duration{"b": w.now - time.Millisecond})
+			w.SetZoneQueries(w.now, nil, map[string]time.Duration{"b": w.now - time.Millisecond})
 		}, true},
 		"a host of another zone answers": {func(w *fixture) {
 			w.now += time.Second
-			w.SetZoneAnswers(w.now, map[string]time.Duration{"a": w.now})
+			w.SetZoneQueries(w.now, nil, map[string]time.Duration{"a": w.now})
 		}, false},
 		"the hold has passed": {func(w *fixture) {
 			w.now += maxUnreachableHold
@@ -142,7 +143,7 @@
 		target.health.recordAttempt(w.now)
 	}
 	w.now += 100 * time.Millisecond
-	w.SetZoneAnswers(w.now, map[string]time.Duration{"b": w.now})
+	w.SetZoneQueries(w.now, nil, map[string]time.Duration{"b": w.now})
 	for _, target := range w.targets {
 		is.True(target.entry.Zone != "b" || target.health.usable(w.now))
 	}
@@ -195,3 +196,44 @@
 		is.Equal(w.entry(w.caller(n, orders).open(0).Key).Zone, "b")
 	}
 }
+
+// Guards against callers that wait for the targets of a lost zone until their
+// deadline: their packets come to hosts of other zones, which have seen nothing
+// of their flows. The flows are given up once the zone's hosts do not answer
+// either, and not before: a few dead targets may look like a lost zone.
+func TestFlowsOfLostZoneAreGivenUp(t *testing.T) {
+	cases := map[string]struct {
+		queried  bool
+		answered bool
+		to       packet.Endpoint
+		want     Kind
+	}{
+		"its hosts are silent, too":     {queried: true, to: feeds, want: Reset},
+		"its hosts were not queried":    {to: feeds, want: Forward},
+		"one of its hosts answers":      {queried: true, answered: true, to: feeds, want: Forward},
+		"the request may not run twice": {queried: true, to: orders, want: Forward},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newFixture(t)
+			cutZone(w, "b")
+			if c.queried {
+				w.SetZoneQueries(w.now, []string{"b"}, nil)
+			}
+			w.now += minDeadSilence
+			for key, target := range w.targets {
+				if w.entry(key).Zone == "a" {
+					target.health.recordAnswer(w.now)
+				}
+			}
+			if c.answered {
+				w.SetZoneQueries(w.now, nil, map[string]time.Duration{"b": w.now})
+			}
+			moved := w.caller(9, c.to) // opened through a host of zone b
+			moved.token = TokenOf("b1")
+			moved.p.Ack = 501
+			is.Equal(moved.sendRequest().Kind, c.want)
+		})
+	}
+}
--- a/coordination/steering/steering.go
+++ b/coordination/steering/steering.go
@@ -195,7 +195,7 @@
 	}
 	sameTarget := f.target == t
 	s.attach(f, t)
-	if f.retransmitsAgain(p) && s.givesUp(now, r, f) && s.mostTargetsAnswer(now) {
+	if len(p.Payload) > 0 && s.givesUp(now, r, t) && s.mostTargetsAnswer(now) {
 		s.refuse(p, a, CauseTargetSilent, verdict.MayHaveRun)
 		a.Key = t.entry.Key
 		s.removeFlow(p.Flow)
--- a/transport/direct/direct.go
+++ b/transport/direct/direct.go
@@ -205,7 +205,7 @@
 	if l := s.loads.Load(); l != s.appliedLoads {
 		s.appliedLoads = l
 		s.cfg.Steering.SetPeerLoads(l)
-		s.cfg.Steering.SetZoneAnswers(now, l.ZoneAnswers)
+		s.cfg.Steering.SetZoneQueries(now, l.QueriedZones, l.ZoneAnswers)
 	}
 	if now < s.lastTick+tickInterval {
 		return
--- a/transport/gossip/gossip.go
+++ b/transport/gossip/gossip.go
@@ -210,7 +210,7 @@
 	helloDue := e.peers.HelloDue(now)
 	to := e.peers.NextRound(now, len(heartbeat), own, targetAnswers)
 	seeds := e.seeds
-	contacts := e.zoneContacts()
+	queried, contacts := e.zoneContacts()
 	prevReads, prevHosts := e.reads, e.hosts
 	e.reads = e.peers.ReadsStore(now, answers, leaving)
 	e.hosts = e.peers.LiveHosts(now)
@@ -218,7 +218,7 @@
 	digest, receivers := e.peers.Digest(now), e.peers.Receivers(now)
 	loads := &steering.PeerLoads{
 		Hosts: hosts, Settled: e.peers.Settled(now), Targets: map[steering.Token]steering.TargetLoad{},
-		ZoneAnswers: e.peers.ZoneAnswers(),
+		QueriedZones: queried, ZoneAnswers: e.peers.ZoneAnswers(),
 	}
 	for token, l := range e.peers.Loads(now) {
 		loads.Targets[steering.Token(token)] = steering.TargetLoad{Open: l.Open, Busy: l.Busy, Unanswered: l.Unanswered, FastShare: float64(l.FastPercent) / percent}
@@ -256,14 +256,17 @@
 	}
 }
 
-// zoneContacts returns the hosts that are queried to find out whether an
-// unreachable zone can be reached again. The caller holds e.mu.
-func (e *Exchange) zoneContacts() []netip.AddrPort {
-	var list []netip.AddrPort
+// zoneContacts returns the unreachable zones of which hosts are known, and the
+// hosts that are queried to find out whether they can be reached again. The caller
+// holds e.mu.
+func (e *Exchange) zoneContacts() (zones []string, contacts []netip.AddrPort) {
 	for _, zone := range e.cfg.Local.UnreachableZones() {
-		list = append(list, addrs(e.peers.ZoneContacts(zone))...)
+		if hosts := e.peers.ZoneContacts(zone); len(hosts) > 0 {
+			zones = append(zones, zone)
+			contacts = append(contacts, addrs(hosts)...)
+		}
 	}
-	return list
+	return zones, contacts
 }
 
 // SetSeeds replaces the addresses of the seeds.
