Split the follower and the exchange by job, and test a large zone over sockets

follow: lists, fetches and feeds have files of their own, one wait instead of two copies. gossip: rounds and feeds apart from sockets. TestLargeZone runs twelve hosts on loopback sockets. No behaviour changes.

--- a/coordination/steering/queue.go
+++ b/coordination/steering/queue.go
@@ -6,8 +6,8 @@
 // arrival, so requests that are already late would delay all fresh ones, and
 // the target rejects what exceeds its queue. Openings are therefore limited to
 // what a target finishes in time, fresh ones before retransmitted ones. A
-// dropped opening costs nothing: the caller retransmits it 200 ms and 600 ms
-// after the first.
+// dropped opening is not lost: the caller retransmits it 200 ms and 600 ms after
+// the first. It is late, though, if the request's objective is shorter.
 
 const (
 	// freshQueueLimit is the number of requests at a target, in multiples of its
--- a/transport/follow/apply.go
+++ b/transport/follow/apply.go
@@ -1,13 +1,8 @@
 package follow
 
 import (
-	"cmp"
-	"maps"
-	"slices"
-
 	"github.com/jujubehaven/jujubehaven/coordination/fleet"
 	"github.com/jujubehaven/jujubehaven/coordination/store"
-	"github.com/jujubehaven/jujubehaven/protocol/gossip"
 )
 
 // applyOperatorEntries replaces the set of zones that are out and applies the
@@ -31,37 +26,6 @@
 	f.dir.SetZones(zones)
 }
 
-// changesInList applies the entries of a list that were written since the last
-// read. It returns these, without heartbeats, and the entries that are no longer
-// in the list, as deleted at the list's index.
-func (f *Follower) changesInList(all store.Snapshot) []gossip.Change {
-	var changes []gossip.Change
-	listed := make(map[store.Key]bool, len(all.Entries))
-	for _, e := range all.Entries {
-		listed[e.Key] = true
-		if store.Index(e.Revision) > f.index && f.apply(store.Change{Entry: e}) {
-			changes = append(changes, gossip.Change{Key: e.Key, Value: e.Value, Revision: e.Revision})
-		}
-	}
-	for _, key := range f.knownKeys() {
-		if !listed[key] {
-			changes = append(changes, gossip.Change{Key: key, Revision: store.Revision(all.Index), Deleted: true})
-		}
-	}
-	slices.SortStableFunc(changes, func(a, b gossip.Change) int { return cmp.Compare(a.Revision, b.Revision) })
-	return changes
-}
-
-// knownKeys returns the keys of all entries that this host knows of.
-func (f *Follower) knownKeys() []store.Key {
-	keys := slices.Collect(maps.Keys(f.operatorKeys))
-	for _, key := range f.dir.TargetKeys() {
-		keys = append(keys, f.cfg.Keys.Targets+store.Key(key))
-	}
-	slices.Sort(keys)
-	return keys
-}
-
 // applyTargetEntries replaces all targets with the listed ones.
 func (f *Follower) applyTargetEntries(entries []store.Entry) {
 	list := make([]fleet.Target, 0, len(entries))
--- a/transport/follow/feed.go
+++ b/transport/follow/feed.go
@@ -33,71 +33,11 @@
 		if wait <= 0 {
 			return ReasonNoFeed
 		}
-		timer := time.NewTimer(wait)
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-		case <-f.wakeup:
-		}
-		timer.Stop()
+		f.waitForWakeup(ctx, wait)
 	}
 	return own
 }
 
-// fetch requests the changes that this host lacks from another one. It reports
-// false if there is no other host.
-func (f *Follower) fetch() bool {
-	if f.cfg.Peers == nil {
-		return false
-	}
-	f.mu.Lock()
-	listed, index := f.listed, f.index
-	f.mu.Unlock()
-	return listed && f.cfg.Peers.Fetch(index)
-}
-
-// fetchMissed requests the changes of a missed feed from another host and waits
-// for them. It reports whether they have arrived.
-func (f *Follower) fetchMissed(ctx context.Context, reason Reason) bool {
-	if reason != ReasonMissedFeed || !f.fetch() {
-		return false
-	}
-	deadline := f.cfg.Clock() + fetchTimeout
-	for ctx.Err() == nil {
-		f.mu.Lock()
-		arrived := f.missedFeed == ""
-		f.mu.Unlock()
-		wait := deadline - f.cfg.Clock()
-		if arrived || wait <= 0 {
-			return arrived
-		}
-		timer := time.NewTimer(wait)
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-		case <-f.wakeup:
-		}
-		timer.Stop()
-	}
-	return false
-}
-
-// ChangesSince returns the changes after an index, or nil if this host doesn't
-// know all of them.
-func (f *Follower) ChangesSince(after store.Index) *gossip.Feed {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if !f.listed || after > f.index {
-		return nil
-	}
-	changes, ok := f.recent.since(after)
-	if !ok {
-		return nil
-	}
-	age := f.cfg.Clock() - f.completeTo
-	return &gossip.Feed{From: after, To: f.index, Changes: changes, AgeMS: age.Milliseconds(), Checksum: f.dir.Checksum()}
-}
-
 // SetReaderStore records whether the store answers the zone's reader. What the
 // store says after an outage may lack entries that expired meanwhile; a host that
 // made no call during the outage learns of it from the reader.
@@ -112,17 +52,6 @@
 	}
 }
 
-// Wake makes a host that waits for feeds check whether it reads the store now.
-func (f *Follower) Wake() { f.wake() }
-
-// ApplyFetched applies the reply to a fetch. If this host reads the store for its
-// zone and the reply has changes that it lacks, the zone gets them, too.
-func (f *Follower) ApplyFetched(feed *gossip.Feed) {
-	if f.ApplyFeed(feed) {
-		f.passOn(feed, "")
-	}
-}
-
 // ApplyFeed applies the changes that another host read from the store. A feed
 // that is partial or leaves a gap makes this host request the changes from
 // another host or read the store itself. ApplyFeed reports whether this host
--- a/transport/follow/follow.go
+++ b/transport/follow/follow.go
@@ -230,46 +230,6 @@
 	return f.list(ctx, reason)
 }
 
-// list reads all entries, in one call if they fit into a page of the store. It
-// sends what has changed since the last read to the other hosts of the zone if
-// this host is their reader.
-func (f *Follower) list(ctx context.Context, reason Reason) error {
-	start := f.cfg.Clock()
-	all, err := f.cfg.Feed.List(ctx, "")
-	if err != nil {
-		return err
-	}
-	f.passOn(f.applyList(start, all), reason)
-	return nil
-}
-
-// applyList applies all entries, read by a call that began at start. It returns
-// the changes since the last read as a feed, nil at the first read.
-func (f *Follower) applyList(start time.Duration, all store.Snapshot) *gossip.Feed {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.recordSuccess()
-	var feed *gossip.Feed
-	if f.index > 0 && all.Index >= f.index {
-		feed = &gossip.Feed{From: f.index, To: all.Index, Changes: f.changesInList(all)}
-	}
-	f.applyOperatorEntries(all.Entries)
-	f.applyTargetEntries(all.Entries)
-	f.index, f.listed, f.lastList = 0, true, f.cfg.Clock()
-	if feed != nil {
-		f.recent.add(feed.From, feed.To, feed.Changes)
-	} else {
-		f.recent.reset(all.Index)
-	}
-	f.advance(all.Index, start, f.cfg.Clock())
-	f.publish()
-	f.cfg.Log.Info().Str("event", "store_listed").Int("entries", len(all.Entries)).Uint64("revision", uint64(all.Index)).Send()
-	if feed != nil {
-		feed.Checksum = f.dir.Checksum()
-	}
-	return feed
-}
-
 // readChanges reads the changes after an index and sends them to the other
 // hosts of the zone if this host is their reader.
 func (f *Follower) readChanges(ctx context.Context, after store.Index, reason Reason) error {
@@ -349,6 +309,17 @@
 	return s
 }
 
+// waitForWakeup waits for a wakeup, but no longer than wait.
+func (f *Follower) waitForWakeup(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-f.wakeup:
+	}
+}
+
 func (f *Follower) sleep(ctx context.Context, wait time.Duration) {
 	if wait <= 0 {
 		return
--- a/transport/gossip/gossip.go
+++ b/transport/gossip/gossip.go
@@ -4,7 +4,6 @@
 package gossip
 
 import (
-	"context"
 	"net"
 	"net/netip"
 	"sync"
@@ -168,107 +167,6 @@
 	}
 }
 
-// replyToFetch sends the changes after an index, if this host knows them.
-func (e *Exchange) replyToFetch(after store.Index, to netip.AddrPort) {
-	feed := e.cfg.Local.ChangesSince(after)
-	if feed == nil {
-		return
-	}
-	e.send(&gossip.Message{
-		Kind: gossip.KindFetchReply, From: e.cfg.Self, StoreAnswers: e.cfg.Local.StoreAnswers(), Leaving: e.cfg.Local.Leaving(), Feed: feed,
-	}, to)
-}
-
-// Run sends heartbeats, and hellos to the seeds, until ctx is done.
-func (e *Exchange) Run(ctx context.Context) {
-	ticker := time.NewTicker(peers.HeartbeatInterval)
-	defer ticker.Stop()
-	for {
-		e.runRound()
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
-
-// runRound sends one round of heartbeats, and hellos if due. It also determines
-// whether this host reads the store, and passes the loads of the other hosts to
-// Local.
-func (e *Exchange) runRound() {
-	answers, leaving := e.cfg.Local.StoreAnswers(), e.cfg.Local.Leaving()
-	own, targetAnswers := e.cfg.Local.Loads()
-	heartbeat, err := gossip.Encode(&gossip.Message{
-		Kind: gossip.KindHeartbeat, From: e.cfg.Self, StoreAnswers: answers, Leaving: leaving, Loads: own, Answers: targetAnswers,
-	})
-	if err != nil {
-		e.cfg.Log.Error().Str("event", "gossip_failed").Str("kind", string(gossip.KindHeartbeat)).Err(err).Send()
-	}
-	e.mu.Lock()
-	now := e.cfg.Clock()
-	helloDue := e.peers.HelloDue(now)
-	to := e.peers.NextRound(now, len(heartbeat), own, targetAnswers)
-	seeds := e.seeds
-	queried, contacts := e.zoneContacts()
-	prevReads, prevHosts := e.reads, e.hosts
-	e.reads = e.peers.ReadsStore(now, answers, leaving)
-	e.hosts = e.peers.LiveHosts(now)
-	reads, hosts := e.reads, e.hosts
-	digest, receivers := e.peers.Digest(now), e.peers.Receivers(now)
-	loads := &steering.PeerLoads{
-		Hosts: hosts, Settled: e.peers.Settled(now), Targets: map[steering.Token]steering.TargetLoad{},
-		QueriedZones: queried, ZoneAnswers: e.peers.ZoneAnswers(),
-	}
-	for token, l := range e.peers.Loads(now) {
-		loads.Targets[steering.Token(token)] = steering.TargetLoad{Open: l.Open, Busy: l.Busy, Unanswered: l.Unanswered, FastShare: float64(l.FastPercent) / percent}
-	}
-	e.mu.Unlock()
-	if hosts != prevHosts {
-		e.cfg.Log.Info().Str("event", "hosts_changed").Int("hosts", hosts).Int("former", prevHosts).Send()
-	}
-	if reads != prevReads {
-		e.cfg.Log.Info().Str("event", "reader_changed").Bool("reads", reads).Int("hosts", hosts).Bool("store_answers", answers).Send()
-	}
-	if reads != prevReads {
-		e.cfg.Local.HandleReader()
-	}
-	e.cfg.Local.HandleLoads(loads)
-	hello := &gossip.Message{Kind: gossip.KindHello, From: e.cfg.Self}
-	if helloDue {
-		e.send(hello, seeds...)
-	}
-	e.send(hello, contacts...)
-	if err == nil {
-		e.write(heartbeat, addrs(to)...)
-	}
-	if digest != nil {
-		e.sendToZone(&gossip.Message{Kind: gossip.KindDigest, From: e.cfg.Self, StoreAnswers: answers, Leaving: leaving, Digest: digest}, receivers)
-	}
-}
-
-// sendToZone sends a message to the heads of groups, with the hosts that each of
-// them relays it to.
-func (e *Exchange) sendToZone(m *gossip.Message, groups []peers.Group) {
-	for _, g := range groups {
-		m.Relay = g.Relay
-		e.send(m, g.Head.Addr)
-	}
-}
-
-// zoneContacts returns the unreachable zones of which hosts are known, and the
-// hosts that are queried to find out whether they can be reached again. The caller
-// holds e.mu.
-func (e *Exchange) zoneContacts() (zones []string, contacts []netip.AddrPort) {
-	for _, zone := range e.cfg.Local.UnreachableZones() {
-		if hosts := e.peers.ZoneContacts(zone); len(hosts) > 0 {
-			zones = append(zones, zone)
-			contacts = append(contacts, addrs(hosts)...)
-		}
-	}
-	return zones, contacts
-}
-
 // SetSeeds replaces the addresses of the seeds.
 func (e *Exchange) SetSeeds(seeds []netip.AddrPort) {
 	e.mu.Lock()
@@ -283,53 +181,6 @@
 	return e.reads
 }
 
-// SendFeed sends changes read from the store to the other hosts of the zone. If
-// the feed is too long it removes the changes from f and marks it as partial, so
-// that the receivers read the store themselves.
-func (e *Exchange) SendFeed(f *gossip.Feed) {
-	e.mu.Lock()
-	receivers := e.peers.Receivers(e.cfg.Clock())
-	e.mu.Unlock()
-	if len(receivers) == 0 {
-		return
-	}
-	m := &gossip.Message{
-		Kind: gossip.KindFeed, From: e.cfg.Self, StoreAnswers: e.cfg.Local.StoreAnswers(), Leaving: e.cfg.Local.Leaving(), Feed: f,
-	}
-	if b, err := gossip.Encode(m); err != nil || len(b)*len(receivers) > e.maxFeedBytes() {
-		f.Changes, f.Partial = nil, true
-	}
-	e.sendToZone(m, receivers)
-}
-
-// maxFeedBytes returns the bytes that the host's link carries in maxFeedTime.
-func (e *Exchange) maxFeedBytes() int {
-	mbps := e.cfg.Self.LinkMbps
-	if mbps <= 0 {
-		mbps = assumedLinkMbps
-	}
-	return int(float64(mbps) * 1e6 / 8 * maxFeedTime.Seconds())
-}
-
-// Fetch requests the changes after an index from the zone's reader, or from
-// hosts of other zones if this host is the reader. It reports whether there is a
-// host to request them from; the reply arrives as a feed.
-func (e *Exchange) Fetch(after store.Index) bool {
-	e.mu.Lock()
-	to := e.peers.FetchFrom(e.cfg.Clock())
-	e.mu.Unlock()
-	e.send(&gossip.Message{Kind: gossip.KindFetch, From: e.cfg.Self, After: after}, addrs(to)...)
-	return len(to) > 0
-}
-
-// FeedWait returns how much longer than the first host of the zone this one
-// waits for a missing feed before it reads the store itself.
-func (e *Exchange) FeedWait() time.Duration {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.peers.FeedWait(e.cfg.Clock())
-}
-
 func addrs(hosts []gossip.Host) []netip.AddrPort {
 	list := make([]netip.AddrPort, len(hosts))
 	for i, h := range hosts {
--- a/transport/gossip/gossip_test.go
+++ b/transport/gossip/gossip_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/netip"
 	"strings"
@@ -107,7 +108,7 @@
 	start := time.Now()
 	h.Exchange, err = New(Config{
 		Listen: addr, Seeds: seeds, Local: h.localStub, Clock: func() time.Duration { return time.Since(start) },
-		Log: logging.New(h.log, zerolog.InfoLevel), Self: gossip.Host{Name: name, Zone: zone, Addr: addr, Started: start.UnixNano()},
+		Log: logging.New(h.log, zerolog.InfoLevel), Self: gossip.Host{Name: name, Zone: zone, Addr: addr, Started: start.UnixNano(), Protocol: gossip.Protocol},
 	})
 	is.NoErr(err)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -256,3 +257,56 @@
 	second := last()
 	eventually(t, "another answer", func() bool { return last() > second })
 }
+
+// Over real sockets the hosts of a large zone agree on one reader. Its digests and
+// feeds reach all of them through hosts that relay them, and a host that missed a
+// feed gets it from the reader.
+func TestLargeZone(t *testing.T) {
+	is := is.New(t)
+	hosts := []*testHost{startHost(t, "h0", "a")}
+	for n := 1; n < 12; n++ {
+		hosts = append(hosts, startHost(t, fmt.Sprintf("h%d", n), "a", hosts[0].addr))
+	}
+	for _, h := range hosts {
+		h.localStub.mu.Lock()
+		h.loads = []gossip.TargetLoad{{Token: 7, Busy: 1}}
+		h.localStub.mu.Unlock()
+	}
+	var reader *testHost
+	eventually(t, "one reader", func() bool {
+		readers := 0
+		for _, h := range hosts {
+			if h.Stats().ReadsStore {
+				readers++
+				reader = h
+			}
+		}
+		return readers == 1
+	})
+	eventually(t, "all loads at all hosts", func() bool {
+		for _, h := range hosts {
+			h.localStub.mu.Lock()
+			known := h.peerLoads != nil && h.peerLoads.Hosts == 12 && h.peerLoads.Targets[7].Busy == 11
+			h.localStub.mu.Unlock()
+			if !known {
+				return false
+			}
+		}
+		return true
+	})
+	reader.SendFeed(&gossip.Feed{From: 3, To: 5, Changes: []gossip.Change{{Key: "t/1", Value: []byte("1"), Revision: 4}}})
+	for _, h := range hosts {
+		if h != reader {
+			eventually(t, "the feed at "+h.cfg.Self.Name, func() bool { return len(h.receivedFeeds()) == 1 })
+		}
+	}
+	reader.localStub.mu.Lock()
+	reader.changes = &gossip.Feed{From: 5, To: 6}
+	reader.localStub.mu.Unlock()
+	other := hosts[0]
+	if other == reader {
+		other = hosts[1]
+	}
+	is.True(other.Fetch(5))
+	eventually(t, "the reply to the fetch", func() bool { return len(other.receivedFeeds()) == 2 })
+}
