--- a/transport/gossip/round.go
+++ b/transport/gossip/round.go
@@ -24,58 +24,93 @@
 	}
 }
 
-// runRound sends one round of heartbeats, and hellos if due. It also determines
-// whether this host reads the store, and passes the loads of the other hosts to
+// round is what one round of heartbeats does.
+type round struct {
+	// storeAnswers and leaving are this host's state.
+	storeAnswers, leaving bool
+	// heartbeatTo are the receivers of the heartbeat, helloTo those of a hello.
+	heartbeatTo, helloTo []netip.AddrPort
+	// digest is sent to the groups unless it is nil.
+	digest *gossip.Digest
+	groups []peers.Group
+	// loads is what the other hosts reported.
+	loads *steering.PeerLoads
+	// reads reports whether this host reads the store and hosts is the number of
+	// the zone's hosts; prevReads and prevHosts are those of the last round.
+	reads, prevReads bool
+	hosts, prevHosts int
+}
+
+// runRound sends one round of heartbeats, hellos if due, and a digest if this
+// host is the reader of a large zone. It passes the loads of the other hosts to
 // Local.
 func (e *Exchange) runRound() {
-	answers, leaving := e.cfg.Local.StoreAnswers(), e.cfg.Local.Leaving()
-	own, targetAnswers := e.cfg.Local.Loads()
+	r := round{storeAnswers: e.cfg.Local.StoreAnswers(), leaving: e.cfg.Local.Leaving()}
+	loads, targetAnswers := e.cfg.Local.Loads()
 	heartbeat, err := gossip.Encode(&gossip.Message{
-		Kind: gossip.KindHeartbeat, From: e.cfg.Self, StoreAnswers: answers, Leaving: leaving, Loads: own, Answers: targetAnswers,
+		Kind: gossip.KindHeartbeat, From: e.cfg.Self, StoreAnswers: r.storeAnswers, Leaving: r.leaving, Loads: loads, Answers: targetAnswers,
 	})
 	if err != nil {
 		e.cfg.Log.Error().Str("event", "gossip_failed").Str("kind", string(gossip.KindHeartbeat)).Err(err).Send()
 	}
+	e.planRound(&r, len(heartbeat), loads, targetAnswers)
+	e.reportChanges(&r)
+	e.cfg.Local.HandleLoads(r.loads)
+	e.send(&gossip.Message{Kind: gossip.KindHello, From: e.cfg.Self}, r.helloTo...)
+	if err == nil {
+		e.write(heartbeat, r.heartbeatTo...)
+	}
+	if r.digest != nil {
+		e.sendToZone(&gossip.Message{
+			Kind: gossip.KindDigest, From: e.cfg.Self, StoreAnswers: r.storeAnswers, Leaving: r.leaving, Digest: r.digest,
+		}, r.groups)
+	}
+}
+
+// planRound decides whom the round's messages go to and whether this host reads
+// the store.
+func (e *Exchange) planRound(r *round, heartbeatBytes int, loads []gossip.TargetLoad, targetAnswers []uint32) {
 	e.mu.Lock()
+	defer e.mu.Unlock()
 	now := e.cfg.Clock()
-	helloDue := e.peers.HelloDue(now)
-	to := e.peers.NextRound(now, len(heartbeat), own, targetAnswers)
-	seeds := e.seeds
 	queried, contacts := e.zoneContacts()
-	prevReads, prevHosts := e.reads, e.hosts
-	e.reads = e.peers.ReadsStore(now, answers, leaving)
+	r.helloTo = contacts
+	if e.peers.HelloDue(now) {
+		r.helloTo = append(r.helloTo, e.seeds...)
+	}
+	r.heartbeatTo = addrs(e.peers.NextRound(now, heartbeatBytes, loads, targetAnswers))
+	r.prevReads, r.prevHosts = e.reads, e.hosts
+	e.reads = e.peers.ReadsStore(now, r.storeAnswers, r.leaving)
 	e.hosts = e.peers.LiveHosts(now)
-	reads, hosts := e.reads, e.hosts
-	digest, receivers := e.peers.Digest(now), e.peers.Receivers(now)
-	loads := &steering.PeerLoads{
-		Hosts: hosts, Settled: e.peers.Settled(now), Targets: map[steering.Token]steering.TargetLoad{},
+	r.reads, r.hosts = e.reads, e.hosts
+	r.digest, r.groups = e.peers.Digest(now), e.peers.Receivers(now)
+	r.loads = &steering.PeerLoads{
+		Hosts: r.hosts, Settled: e.peers.Settled(now), Targets: steeringLoads(e.peers.Loads(now)),
 		QueriedZones: queried, ZoneAnswers: e.peers.ZoneAnswers(),
 	}
-	for token, l := range e.peers.Loads(now) {
-		loads.Targets[steering.Token(token)] = steering.TargetLoad{Open: l.Open, Busy: l.Busy, Unanswered: l.Unanswered, FastShare: float64(l.FastPercent) / percent}
-	}
-	e.mu.Unlock()
-	if hosts != prevHosts {
-		e.cfg.Log.Info().Str("event", "hosts_changed").Int("hosts", hosts).Int("former", prevHosts).Send()
+}
+
+// steeringLoads converts the loads of other hosts.
+func steeringLoads(loads map[uint32]gossip.TargetLoad) map[steering.Token]steering.TargetLoad {
+	targets := make(map[steering.Token]steering.TargetLoad, len(loads))
+	for token, l := range loads {
+		targets[steering.Token(token)] = steering.TargetLoad{
+			Open: l.Open, Busy: l.Busy, Unanswered: l.Unanswered, FastShare: float64(l.FastPercent) / percent,
+		}
 	}
-	if reads != prevReads {
-		e.cfg.Log.Info().Str("event", "reader_changed").Bool("reads", reads).Int("hosts", hosts).Bool("store_answers", answers).Send()
+	return targets
+}
+
+// reportChanges logs what differs from the last round and tells Local if this
+// host begins or ends to read the store.
+func (e *Exchange) reportChanges(r *round) {
+	if r.hosts != r.prevHosts {
+		e.cfg.Log.Info().Str("event", "hosts_changed").Int("hosts", r.hosts).Int("former", r.prevHosts).Send()
 	}
-	if reads != prevReads {
+	if r.reads != r.prevReads {
+		e.cfg.Log.Info().Str("event", "reader_changed").Bool("reads", r.reads).Int("hosts", r.hosts).Bool("store_answers", r.storeAnswers).Send()
 		e.cfg.Local.HandleReader()
 	}
-	e.cfg.Local.HandleLoads(loads)
-	hello := &gossip.Message{Kind: gossip.KindHello, From: e.cfg.Self}
-	if helloDue {
-		e.send(hello, seeds...)
-	}
-	e.send(hello, contacts...)
-	if err == nil {
-		e.write(heartbeat, addrs(to)...)
-	}
-	if digest != nil {
-		e.sendToZone(&gossip.Message{Kind: gossip.KindDigest, From: e.cfg.Self, StoreAnswers: answers, Leaving: leaving, Digest: digest}, receivers)
-	}
 }
 
 // zoneContacts returns the unreachable zones of which hosts are known, and the
