Repeat a failed list without waiting for feeds

Cause: a host without a list can't apply feeds, yet after a failed list it waited for the zone's next feed like the others: 1.5 to 1.8 s, and 10 s more in a large zone while a reader sends digests. A host that restarts while the store rejects or loses its first call thus had no view for up to 12 s; one whose history was lost kept an old view as long. Found by reading, for the zone that fails once; whether it is that zone's cause is not shown yet.

--- a/transport/follow/feed.go
+++ b/transport/follow/feed.go
@@ -21,8 +21,11 @@
 		feedWait := f.cfg.Peers.FeedWait()
 		f.mu.Lock()
 		wait := f.lastUpdate + timeout + feedWait - f.cfg.Clock()
-		missedFeed := f.missedFeed
+		missedFeed, listed := f.missedFeed, f.listed
 		f.mu.Unlock()
+		if !listed && missedFeed == "" {
+			return own // feeds only continue a list
+		}
 		if missedFeed != "" {
 			if f.fetchMissed(ctx, missedFeed) {
 				continue
--- a/transport/follow/follow_test.go
+++ b/transport/follow/follow_test.go
@@ -111,6 +111,8 @@
 	// is no host to fetch from.
 	fetched func(after store.Index)
 	fetches int
+	// feedWait is the result of FeedWait.
+	feedWait time.Duration
 }
 
 func (p *stubPeers) ReadsStore() bool {
@@ -138,7 +140,7 @@
 	return true
 }
 
-func (p *stubPeers) FeedWait() time.Duration { return 0 }
+func (p *stubPeers) FeedWait() time.Duration { return p.feedWait }
 
 func (p *stubPeers) set(reads bool) {
 	p.mu.Lock()
