Tell apart the epochs of the store and keep what is newer than a copy

Cause: the store may return from an older copy. Its revisions are then issued again, so a host that went on from its old index skipped changes for good, and the copy undid what hosts knew: targets that had left or drained got new flows, an evacuation was undone. The client even hid an index that went back.

Change: a position is an epoch and an index, from the store's header to feeds, fetches and the log of changes. A new epoch means one list by the zone's reader and a feed of the differences. A host whose list is being repeated no longer tells its zone that the store refuses it.

Ruled out: a rule by heartbeats for targets that are gone, as hosts fed by a reader know old counts only.

--- a/coordination/fleet/directory.go
+++ b/coordination/fleet/directory.go
@@ -56,10 +56,9 @@
 	config   Config
 	targets  map[TargetKey]*Entry
 	zonesOut map[string]bool
-	// hasConfig, hasTargets and hasZones are set once the configuration, all
-	// targets and all zones, respectively, were read from the store or received
-	// from another host.
-	hasConfig, hasTargets, hasZones bool
+	// hasConfig is set once the configuration is known, listed once all targets and
+	// zones are.
+	hasConfig, listed bool
 	// storeLost is set while the store is unreachable. storeRegainedAt is when it
 	// was last reachable again.
 	storeLost       bool
@@ -78,7 +77,7 @@
 // Ready reports whether the configuration, the targets and the zones have each
 // been read completely once.
 func (d *Directory) Ready() bool {
-	return d.hasConfig && d.hasTargets && d.hasZones
+	return d.hasConfig && d.listed
 }
 
 // StoreLost records that the store is unreachable and reports whether that is
@@ -101,6 +100,26 @@
 	return true
 }
 
+// StoreRestored records that the store has returned from an older copy of its
+// data. Targets that the copy lacks are missing rather than gone, as after an
+// outage.
+func (d *Directory) StoreRestored(now time.Duration) {
+	d.storeLost, d.storeWasLost = false, true
+	d.storeRegainedAt = now
+}
+
+// KeepsTarget reports whether what is known of a target is newer than its entry in
+// a copy of the store: the target has left, drains, has restarted or has written a
+// later heartbeat. A newer incarnation is never older than what is known.
+func (d *Directory) KeepsTarget(copied Target) bool {
+	known := d.targets[copied.Key]
+	if known == nil || copied.Started > known.Started {
+		return false
+	}
+	return known.Gone || (known.Draining && !copied.Draining) ||
+		copied.Started < known.Started || copied.Heartbeats < known.Heartbeats
+}
+
 // SetConfig replaces the configuration if the version is newer and reports
 // whether it did.
 func (d *Directory) SetConfig(c Config) bool {
@@ -117,18 +136,8 @@
 // none.
 func (d *Directory) ConfigVersion() uint64 { return d.config.Version }
 
-// SetZones replaces the set of zones that take no new flows.
-func (d *Directory) SetZones(out []string) {
-	d.hasZones = true
-	zones := make(map[string]bool, len(out))
-	for _, z := range out {
-		zones[z] = true
-	}
-	if !maps.Equal(zones, d.zonesOut) {
-		d.zonesOut = zones
-		d.changed = true
-	}
-}
+// SetListed records that all targets and zones of the store are known.
+func (d *Directory) SetListed() { d.listed = true }
 
 // SetZone sets whether a zone is out, that is, takes no new flows. It reports
 // whether that changed.
@@ -218,11 +227,12 @@
 
 // RemoveTarget records that the store has no entry of a target any more. The
 // target is gone at once, or missing if the store is unreachable or became
-// reachable again less than recoveryGrace ago.
-func (d *Directory) RemoveTarget(now time.Duration, key TargetKey) {
+// reachable again less than recoveryGrace ago. RemoveTarget reports whether the
+// target was neither before.
+func (d *Directory) RemoveTarget(now time.Duration, key TargetKey) bool {
 	old := d.targets[key]
 	if old == nil || old.Gone || old.Missing {
-		return
+		return false
 	}
 	e := *old
 	e.Since = now
@@ -233,6 +243,7 @@
 	}
 	d.targets[key] = &e
 	d.changed = true
+	return true
 }
 
 // MarkTargetMissing records that a target's entry can't be decoded: another
@@ -249,31 +260,6 @@
 	d.changed = true
 }
 
-// SetTargets records all targets of the store: those without an entry are
-// removed, those with an unreadable one are missing. It returns the keys of the
-// removed targets.
-func (d *Directory) SetTargets(now time.Duration, list []Target, unreadable ...TargetKey) []TargetKey {
-	d.hasTargets = true
-	seen := make(map[TargetKey]bool, len(list))
-	for _, key := range unreadable {
-		seen[key] = true
-		d.MarkTargetMissing(now, key)
-	}
-	for _, t := range list {
-		seen[t.Key] = true
-		d.PutTarget(now, t)
-	}
-	var removed []TargetKey
-	for key, e := range d.targets {
-		if !seen[key] && !e.Gone && !e.Missing {
-			d.RemoveTarget(now, key)
-			removed = append(removed, key)
-		}
-	}
-	slices.Sort(removed)
-	return removed
-}
-
 // Sweep marks targets that have been missing for too long as gone and drops
 // those that have been gone for goneRetention. It returns the keys of the newly
 // gone targets.
--- a/coordination/fleet/directory_test.go
+++ b/coordination/fleet/directory_test.go
@@ -15,8 +15,9 @@
 func newReadyDirectory() *Directory {
 	d := NewDirectory()
 	d.SetConfig(Config{Version: 1})
-	d.SetZones(nil)
-	d.SetTargets(0, []Target{target("t1", 1), target("t2", 1)})
+	d.PutTarget(0, target("t1", 1))
+	d.PutTarget(0, target("t2", 1))
+	d.SetListed()
 	return d
 }
 
@@ -35,10 +36,11 @@
 	d := NewDirectory()
 	d.SetConfig(Config{Version: 1})
 	is.True(!d.Ready())
-	d.SetTargets(0, nil)
-	is.True(!d.Ready())
-	d.SetZones(nil)
+	d.SetListed()
 	is.True(d.Ready())
+	d = NewDirectory()
+	d.SetListed()
+	is.True(!d.Ready()) // a list without a configuration
 }
 
 func TestOlderConfigVersionIsIgnored(t *testing.T) {
@@ -66,7 +68,8 @@
 	d := newReadyDirectory()
 	d.StoreLost()
 	is.True(d.StoreRegained(10 * time.Second))
-	d.SetTargets(10*time.Second, nil)
+	d.RemoveTarget(10*time.Second, "t1")
+	d.RemoveTarget(10*time.Second, "t2")
 	is.True(entry(d, "t1").Missing)
 	is.True(!entry(d, "t1").Gone)
 	is.Equal(len(d.Sweep(12*time.Second)), 0)
@@ -95,7 +98,7 @@
 	is := is.New(t)
 	d := newReadyDirectory()
 	d.MarkTargetMissing(time.Second, "t1")
-	d.SetTargets(time.Second, nil, "t2")
+	d.MarkTargetMissing(time.Second, "t2")
 	is.True(entry(d, "t1").Missing)
 	is.True(entry(d, "t2").Missing)
 	is.Equal(d.PutTarget(2*time.Second, target("t1", 2)), ChangeReturned)
@@ -172,3 +175,50 @@
 	d.PutTarget(time.Second, target("t1", 1)) // the same heartbeat was read twice
 	is.True(d.View() == nil)
 }
+
+// Guards against a target that has left, or is about to, getting new flows again
+// because the store returned from a copy that is older. What a newer incarnation
+// wrote is never older.
+func TestKeepsTargetThatIsNewerThanACopy(t *testing.T) {
+	draining, later := target("t1", 2), target("t1", 5)
+	draining.Draining = true
+	restarted := target("t1", 1)
+	restarted.Started = 2
+	cases := []struct {
+		name   string
+		act    func(d *Directory)
+		copied Target
+		want   bool
+	}{
+		{"unknown", func(*Directory) {}, target("t9", 1), false},
+		{"as known", func(*Directory) {}, target("t1", 1), false},
+		{"later heartbeat", func(*Directory) {}, target("t1", 3), false},
+		{"gone", func(d *Directory) { d.RemoveTarget(0, "t1") }, target("t1", 3), true},
+		{"gone, restarted", func(d *Directory) { d.RemoveTarget(0, "t1") }, restarted, false},
+		{"draining", func(d *Directory) { d.PutTarget(0, draining) }, target("t1", 3), true},
+		{"draining, in the copy too", func(d *Directory) { d.PutTarget(0, draining) }, draining, false},
+		{"draining, restarted", func(d *Directory) { d.PutTarget(0, draining) }, restarted, false},
+		{"earlier heartbeat", func(d *Directory) { d.PutTarget(0, later) }, target("t1", 4), true},
+		{"earlier incarnation", func(d *Directory) { d.PutTarget(0, restarted) }, target("t1", 9), true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			d := newReadyDirectory()
+			c.act(d)
+			is.New(t).Equal(d.KeepsTarget(c.copied), c.want)
+		})
+	}
+}
+
+// Guards against flows of living targets being reset because a copy of the store
+// lacks targets that joined after it: they write their entries again.
+func TestTargetsMissingFromACopyAreKept(t *testing.T) {
+	is := is.New(t)
+	d := newReadyDirectory()
+	d.StoreRestored(10 * time.Second)
+	d.RemoveTarget(10*time.Second, "t1")
+	d.RemoveTarget(10*time.Second, "t2")
+	is.True(entry(d, "t1").Missing && !entry(d, "t1").Gone)
+	is.Equal(d.PutTarget(11*time.Second, target("t1", 2)), ChangeReturned)
+	is.Equal(d.Sweep(12500*time.Millisecond), []TargetKey{"t2"})
+}
--- a/coordination/store/error.go
+++ b/coordination/store/error.go
@@ -33,6 +33,9 @@
 	// Overloaded means that the store rejected the call because of a rate limit
 	// or of its load; nothing was done.
 	Overloaded
+	// Outdated means that the response describes an older epoch of the store than
+	// one that the caller knows; it says nothing about the store's contents.
+	Outdated
 )
 
 // String returns the name used in logs and metrics.
@@ -56,6 +59,8 @@
 		return "history-lost"
 	case Overloaded:
 		return "overloaded"
+	case Outdated:
+		return "outdated"
 	}
 	return "unknown"
 }
@@ -87,6 +92,8 @@
 	Op   Op
 	Key  Key
 	Kind Kind
+	// Epoch is the epoch that the response named, 0 if it named none.
+	Epoch Epoch
 	// Cause is the underlying error, nil if there is none.
 	Cause error
 }
--- a/coordination/store/store.go
+++ b/coordination/store/store.go
@@ -47,12 +47,17 @@
 }
 
 // Snapshot is the entries under a prefix, ordered by key, as of an index. It
-// may be older than one read before: replicas answer reads.
+// may be older than one read before: replicas answer reads. A Store that does not
+// report epochs leaves Epoch 0.
 type Snapshot struct {
 	Entries []Entry
+	Epoch   Epoch
 	Index   Index
 }
 
+// Position returns the position of the snapshot.
+func (s *Snapshot) Position() Position { return Position{Epoch: s.Epoch, Index: s.Index} }
+
 // Store reads, writes and watches values. Every error is an *Error. A write
 // that fails with kind UnknownOutcome may have taken effect or may still do so;
 // the caller has to read the value back.
@@ -80,9 +85,12 @@
 	Deleted bool
 }
 
-// Changes is the changes under a prefix, in order, up to an index.
+// Changes is the changes under a prefix, in order, up to an index of an epoch. If
+// the epoch is not that of the requested index, or the index is below it, the
+// changes belong to another history and don't continue the caller's.
 type Changes struct {
 	List  []Change
+	Epoch Epoch
 	Index Index
 }
 
--- a/internal/tokenhost/local.go
+++ b/internal/tokenhost/local.go
@@ -32,7 +32,7 @@
 func (l local) HandleReaderStore(answers bool) { l.h.follower.SetReaderStore(answers) }
 
 // ChangesSince implements gossip.Local.
-func (l local) ChangesSince(after store.Index) *wire.Feed { return l.h.follower.ChangesSince(after) }
+func (l local) ChangesSince(after store.Position) *wire.Feed { return l.h.follower.ChangesSince(after) }
 
 // HandleReader implements gossip.Local.
 func (l local) HandleReader() { l.h.follower.Wake() }
--- a/protocol/gossip/gossip.go
+++ b/protocol/gossip/gossip.go
@@ -95,9 +95,11 @@
 	Unanswered int
 }
 
-// Feed holds the changes of the store after index From up to index To. Partial
-// is set if changes are left out because they exceed the size of a datagram; the
-// receiver then has to query the store.
+// Feed holds the changes of the store after index From of epoch FromEpoch up to
+// index To of epoch Epoch. If the epochs differ, the store has returned from an
+// older copy, and the changes are the differences between what the sender knew and
+// what it takes over from the copy. Partial is set if changes are left out because
+// they exceed the size of a datagram; the receiver then has to query the store.
 type Feed struct {
 	From    store.Index `cbor:"1,keyasint"`
 	To      store.Index `cbor:"2,keyasint"`
@@ -109,6 +111,23 @@
 	// Checksum is the checksum of the sender's targets at index To, 0 if it sends
 	// none. A receiver with another one has missed a change.
 	Checksum uint64 `cbor:"6,keyasint,omitempty"`
+	// FromEpoch and Epoch are the epochs of From and To. Builds that know no epochs
+	// send 0.
+	FromEpoch store.Epoch `cbor:"7,keyasint,omitempty"`
+	Epoch     store.Epoch `cbor:"8,keyasint,omitempty"`
+}
+
+// Start returns the position after which the changes were made.
+func (f *Feed) Start() store.Position {
+	return store.Position{Epoch: f.FromEpoch, Index: f.From}
+}
+
+// End returns the position up to which the changes were made.
+func (f *Feed) End() store.Position { return store.Position{Epoch: f.Epoch, Index: f.To} }
+
+// NewFeed returns a feed of the changes between two positions.
+func NewFeed(from, to store.Position, changes []Change) *Feed {
+	return &Feed{From: from.Index, FromEpoch: from.Epoch, To: to.Index, Epoch: to.Epoch, Changes: changes}
 }
 
 // Change is the change of one key in the store.
@@ -140,7 +159,7 @@
 	// Leaving is set during a planned shutdown of the sender.
 	Leaving bool `cbor:"4,keyasint,omitempty"`
 	// Loads is part of a heartbeat, KnownHosts of a hello reply, Feed of a feed,
-	// Digest of a digest and After of a fetch.
+	// Digest of a digest, After and AfterEpoch of a fetch.
 	Loads      []TargetLoad `cbor:"5,keyasint,omitempty"`
 	KnownHosts []Host       `cbor:"6,keyasint,omitempty"`
 	Feed       *Feed        `cbor:"7,keyasint,omitempty"`
@@ -152,6 +171,8 @@
 	// Relay holds the hosts that the receiver sends the message on to, without
 	// this list.
 	Relay []netip.AddrPort `cbor:"10,keyasint,omitempty"`
+	// AfterEpoch is the epoch of After.
+	AfterEpoch store.Epoch `cbor:"12,keyasint,omitempty"`
 }
 
 // Encode returns the datagram of a message. It fails if the datagram exceeds
--- a/transport/follow/apply.go
+++ b/transport/follow/apply.go
@@ -5,46 +5,6 @@
 	"github.com/jujubehaven/jujubehaven/coordination/store"
 )
 
-// applyOperatorEntries replaces the set of zones that are out and applies the
-// configuration, if it is among the entries.
-func (f *Follower) applyOperatorEntries(entries []store.Entry) {
-	var zones []string
-	clear(f.operatorKeys)
-	for _, e := range entries {
-		if !e.Key.HasPrefix(f.cfg.Keys.Operator) {
-			continue
-		}
-		f.operatorKeys[e.Key] = true
-		change := f.decodeOperator(e, false)
-		if change.Config != nil {
-			f.setConfig(*change.Config)
-		}
-		if change.ZoneOut {
-			zones = append(zones, change.Zone)
-		}
-	}
-	f.dir.SetZones(zones)
-}
-
-// applyTargetEntries replaces all targets with the listed ones.
-func (f *Follower) applyTargetEntries(entries []store.Entry) {
-	list := make([]fleet.Target, 0, len(entries))
-	var unreadable []fleet.TargetKey
-	for _, e := range entries {
-		if !e.Key.HasPrefix(f.cfg.Keys.Targets) {
-			continue
-		}
-		if t, ok := f.decodeTarget(e); ok {
-			list = append(list, t)
-			continue
-		}
-		unreadable = append(unreadable, fleet.TargetKey(e.Key[len(f.cfg.Keys.Targets):]))
-	}
-	for _, key := range f.dir.SetTargets(f.cfg.Clock(), list, unreadable...) {
-		f.cfg.Log.Info().Str("event", "target_removed").Str("target", string(key)).Bool("listed", true).Send()
-	}
-}
-
 // apply applies one change and reports whether it was more than a target's
 // heartbeat.
 func (f *Follower) apply(c store.Change) bool {
@@ -55,7 +15,7 @@
 	case !c.Key.HasPrefix(f.cfg.Keys.Targets):
 		return false
 	}
-	key := fleet.TargetKey(c.Key[len(f.cfg.Keys.Targets):])
+	key := f.targetKey(c.Key)
 	if c.Deleted {
 		delete(f.rejected, c.Key)
 		f.dir.RemoveTarget(f.cfg.Clock(), key)
@@ -70,20 +30,22 @@
 	return f.applyTarget(t)
 }
 
-func (f *Follower) applyOperator(c store.Change) {
+// applyOperator applies a change of one of the operator's entries and reports
+// whether the configuration or a zone changed.
+func (f *Follower) applyOperator(c store.Change) bool {
+	known := operatorEntry{revision: c.Revision, deleted: c.Deleted}
 	if c.Deleted {
-		delete(f.operatorKeys, c.Key)
-	} else {
-		f.operatorKeys[c.Key] = true
+		known.revision = f.operator[c.Key].revision // of the deleted entry
 	}
+	f.operator[c.Key] = known
 	change := f.decodeOperator(c.Entry, c.Deleted)
-	if change.Config != nil {
-		f.setConfig(*change.Config)
-	}
+	changed := change.Config != nil && f.setConfig(*change.Config)
 	if change.Zone != "" && f.dir.SetZone(change.Zone, change.ZoneOut) {
+		changed = true
 		f.cfg.Log.Info().Str("event", "zone_changed").Str("zone", change.Zone).Bool("out", change.ZoneOut).
 			Uint64("revision", uint64(c.Revision)).Send()
 	}
+	return changed
 }
 
 func (f *Follower) applyTarget(t fleet.Target) bool {
@@ -97,13 +59,17 @@
 	return true
 }
 
-func (f *Follower) setConfig(c fleet.Config) {
+// setConfig applies a configuration and reports whether it is newer than the
+// current one.
+func (f *Follower) setConfig(c fleet.Config) bool {
 	previous := f.dir.ConfigVersion()
-	if f.dir.SetConfig(c) {
-		f.stats.ConfigVersion = c.Version
-		f.cfg.Log.Info().Str("event", "config_in_force").Uint64("version", c.Version).Uint64("former", previous).
-			Int("routes", len(c.Routes)).Int("services", len(c.Services)).Send()
+	if !f.dir.SetConfig(c) {
+		return false
 	}
+	f.stats.ConfigVersion = c.Version
+	f.cfg.Log.Info().Str("event", "config_in_force").Uint64("version", c.Version).Uint64("former", previous).
+		Int("routes", len(c.Routes)).Int("services", len(c.Services)).Send()
+	return true
 }
 
 func (f *Follower) decodeOperator(e store.Entry, deleted bool) fleet.OperatorChange {
--- a/transport/follow/calls.go
+++ b/transport/follow/calls.go
@@ -25,6 +25,9 @@
 	// ReasonMismatch lists all entries because the targets of this host differ from
 	// those of the zone's reader at the same index.
 	ReasonMismatch Reason = "mismatch"
+	// ReasonRestored lists all entries because the grace after the store's return
+	// from an older copy is over.
+	ReasonRestored Reason = "restored"
 	// ReasonUnknownToken is a call because of a packet whose token matches no
 	// target.
 	ReasonUnknownToken Reason = "unknown-token"
--- a/transport/follow/changelog.go
+++ b/transport/follow/changelog.go
@@ -9,31 +9,49 @@
 const maxLogBytes = 256 << 10
 
 // changeLog holds the changes of the store, without heartbeats, that were made
-// after index from up to index to, oldest first.
+// after position from up to position to, oldest first. It spans epochs: the
+// changes that a restored store causes have the first known position of the new
+// epoch.
 type changeLog struct {
-	from, to store.Index
-	list     []gossip.Change
+	from, to store.Position
+	list     []loggedChange
 	bytes    int
 }
 
-// reset empties the log, which continues after an index.
-func (l *changeLog) reset(index store.Index) {
-	*l = changeLog{from: index, to: index}
+// loggedChange is a change with its position in the log.
+type loggedChange struct {
+	at     store.Position
+	change gossip.Change
 }
 
-// add appends the changes between two indexes, without those that the log has
+// size returns the bytes that count towards maxLogBytes.
+func (c *loggedChange) size() int { return len(c.change.Key) + len(c.change.Value) }
+
+// reset empties the log, which continues after a position.
+func (l *changeLog) reset(at store.Position) {
+	*l = changeLog{from: at, to: at}
+}
+
+// add appends the changes between two positions, without those that the log has
 // already.
-func (l *changeLog) add(from, to store.Index, changes []gossip.Change) {
-	if from > l.to {
+func (l *changeLog) add(from, to store.Position, changes []gossip.Change) {
+	if l.to.Before(from) {
 		l.reset(from)
 	}
 	for _, c := range changes {
-		if store.Index(c.Revision) > l.to {
-			l.list = append(l.list, c)
-			l.bytes += len(c.Key) + len(c.Value)
+		at := store.Position{Epoch: to.Epoch, Index: store.Index(c.Revision)}
+		if from.Epoch != to.Epoch {
+			at = to // revisions of different epochs are not comparable
 		}
+		if l.to.Before(at) {
+			logged := loggedChange{at: at, change: c}
+			l.list = append(l.list, logged)
+			l.bytes += logged.size()
+		}
+	}
+	if l.to.Before(to) {
+		l.to = to
 	}
-	l.to = max(l.to, to)
 	l.trim()
 }
 
@@ -41,24 +59,23 @@
 func (l *changeLog) trim() {
 	drop := 0
 	for l.bytes > maxLogBytes && drop < len(l.list) {
-		c := l.list[drop]
-		l.bytes -= len(c.Key) + len(c.Value)
-		l.from = store.Index(c.Revision)
+		l.bytes -= l.list[drop].size()
+		l.from = l.list[drop].at
 		drop++
 	}
 	l.list = append(l.list[:0], l.list[drop:]...)
 }
 
-// since returns the changes after an index, and false if the log does not have
+// since returns the changes after a position, and false if the log does not have
 // all of them.
-func (l *changeLog) since(after store.Index) ([]gossip.Change, bool) {
-	if after < l.from {
+func (l *changeLog) since(after store.Position) ([]gossip.Change, bool) {
+	if after.Before(l.from) {
 		return nil, false
 	}
 	var list []gossip.Change
 	for _, c := range l.list {
-		if store.Index(c.Revision) > after {
-			list = append(list, c)
+		if after.Before(c.at) {
+			list = append(list, c.change)
 		}
 	}
 	return list, true
--- a/transport/follow/feed.go
+++ b/transport/follow/feed.go
@@ -62,7 +62,8 @@
 func (f *Follower) ApplyFeed(feed *gossip.Feed) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.listed || feed.To < f.index {
+	from, to := f.feedPositions(feed)
+	if !f.listed || to.Before(f.pos) {
 		return false
 	}
 	defer f.wake()
@@ -70,30 +71,51 @@
 		f.missedFeed = ReasonPartialFeed
 		return false
 	}
-	if feed.From > f.index {
+	if f.pos.Before(from) {
 		f.missedFeed = ReasonMissedFeed
 		return false
 	}
 	f.stats.Feeds++
-	for _, c := range feed.Changes {
-		if store.Index(c.Revision) > f.index {
-			f.apply(store.Change{Entry: store.Entry{Key: c.Key, Value: c.Value, Revision: c.Revision}, Deleted: c.Deleted})
-		}
-	}
-	lacked := feed.To > f.index
-	f.recent.add(f.index, feed.To, feed.Changes)
+	f.applyFeedChanges(feed.Changes, to)
+	lacked := f.pos.Before(to)
+	f.recent.add(f.pos, to, feed.Changes)
 	updated := f.cfg.Clock() - time.Duration(feed.AgeMS)*time.Millisecond
-	f.advance(feed.To, updated-maxFeedDelay, updated)
+	f.advance(to, updated-maxFeedDelay, updated)
 	f.publish()
-	f.compareTargets(feed)
+	f.compareTargets(feed, to)
 	return lacked
 }
 
+// feedPositions returns the positions between which the changes of a feed were
+// made. A feed of a build that knows no epochs is taken to be of the current one.
+func (f *Follower) feedPositions(feed *gossip.Feed) (from, to store.Position) {
+	from, to = feed.Start(), feed.End()
+	if feed.Epoch == 0 {
+		from.Epoch, to.Epoch = f.pos.Epoch, f.pos.Epoch
+	}
+	return from, to
+}
+
+// applyFeedChanges applies the changes of a feed up to a position that this host
+// lacks. A feed from an older epoch has what changed by the store's return, whose
+// revisions are not comparable with this host's.
+func (f *Follower) applyFeedChanges(changes []gossip.Change, to store.Position) {
+	crossesEpochs := f.pos.Epoch != to.Epoch
+	if crossesEpochs {
+		f.recordRestore(to)
+	}
+	for _, c := range changes {
+		if crossesEpochs || store.Index(c.Revision) > f.pos.Index {
+			f.apply(store.Change{Entry: store.Entry{Key: c.Key, Value: c.Value, Revision: c.Revision}, Deleted: c.Deleted})
+		}
+	}
+}
+
 // compareTargets makes this host list all entries if its targets differ from the
 // sender's at the same index. What a feed leaves out as a heartbeat depends on
 // what its sender knew; a wrong omission would end the flows of a living target.
-func (f *Follower) compareTargets(feed *gossip.Feed) {
-	if feed.Checksum == 0 || feed.To != f.index || feed.Checksum == f.dir.Checksum() {
+func (f *Follower) compareTargets(feed *gossip.Feed, to store.Position) {
+	if feed.Checksum == 0 || to != f.pos || feed.Checksum == f.dir.Checksum() {
 		return
 	}
 	now := f.cfg.Clock()
@@ -101,7 +123,7 @@
 		return
 	}
 	f.lastMismatch, f.hasMismatch = now, true
-	f.cfg.Log.Warn().Str("event", "targets_mismatch").Uint64("revision", uint64(f.index)).Send()
+	f.cfg.Log.Warn().Str("event", "targets_mismatch").Uint64("revision", uint64(f.pos.Index)).Send()
 	f.listed = false
 	f.missedFeed = ReasonMismatch
 }
@@ -121,10 +143,12 @@
 	f.wake()
 }
 
-// advance records that all changes up to an index are known. They include all
+// advance records that all changes up to a position are known. They include all
 // writes made until the time completeTo, as the store said at the time updated.
-func (f *Follower) advance(index store.Index, completeTo, updated time.Duration) {
-	f.index = max(f.index, index)
+func (f *Follower) advance(to store.Position, completeTo, updated time.Duration) {
+	if f.pos.Before(to) {
+		f.pos = to
+	}
 	f.completeTo = max(f.completeTo, completeTo)
 	f.lastUpdate = max(f.lastUpdate, updated)
 	f.missedFeed = ""
@@ -138,27 +162,29 @@
 }
 
 // applyChanges applies the changes read by a call that began at start. It
-// returns the feed for the other hosts, which leaves out heartbeats, or nil if
-// the call failed.
-func (f *Follower) applyChanges(after store.Index, start time.Duration, got store.Changes, err error) *gossip.Feed {
+// returns the feed for the other hosts, which leaves out heartbeats, or an error
+// if the changes belong to another history.
+func (f *Follower) applyChanges(after store.Position, start time.Duration, got store.Changes) (*gossip.Feed, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if err != nil {
-		return nil
+	if err := f.checkChanges(after, &got); err != nil {
+		return nil, err
 	}
 	f.recordSuccess()
-	feed := &gossip.Feed{From: after, To: got.Index}
+	to := store.Position{Epoch: got.Epoch, Index: got.Index}
+	after.Epoch = got.Epoch // also if the store has just begun to report it
+	feed := gossip.NewFeed(after, to, nil)
 	for _, c := range got.List {
-		if store.Index(c.Revision) <= f.index {
+		if store.Index(c.Revision) <= f.pos.Index {
 			continue // already applied from a feed
 		}
 		if f.apply(c) {
 			feed.Changes = append(feed.Changes, gossip.Change{Key: c.Key, Value: c.Value, Revision: c.Revision, Deleted: c.Deleted})
 		}
 	}
-	f.recent.add(after, got.Index, feed.Changes)
-	f.advance(got.Index, start, f.cfg.Clock())
+	f.recent.add(after, to, feed.Changes)
+	f.advance(to, start, f.cfg.Clock())
 	f.publish()
 	feed.Checksum = f.dir.Checksum()
-	return feed
+	return feed, nil
 }
--- a/transport/follow/fetch.go
+++ b/transport/follow/fetch.go
@@ -14,9 +14,9 @@
 		return false
 	}
 	f.mu.Lock()
-	listed, index := f.listed, f.index
+	listed, after := f.listed, f.pos
 	f.mu.Unlock()
-	return listed && f.cfg.Peers.Fetch(index)
+	return listed && f.cfg.Peers.Fetch(after)
 }
 
 // fetchMissed requests the changes of a missed feed from another host and waits
@@ -39,12 +39,15 @@
 	return false
 }
 
-// ChangesSince returns the changes after an index, or nil if this host doesn't
+// ChangesSince returns the changes after a position, or nil if this host doesn't
 // know all of them.
-func (f *Follower) ChangesSince(after store.Index) *gossip.Feed {
+func (f *Follower) ChangesSince(after store.Position) *gossip.Feed {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.listed || after > f.index {
+	if after.Epoch == 0 {
+		after.Epoch = f.pos.Epoch // of a build that knows no epochs
+	}
+	if !f.listed || f.pos.Before(after) {
 		return nil
 	}
 	changes, ok := f.recent.since(after)
@@ -52,7 +55,9 @@
 		return nil
 	}
 	age := f.cfg.Clock() - f.completeTo
-	return &gossip.Feed{From: after, To: f.index, Changes: changes, AgeMS: age.Milliseconds(), Checksum: f.dir.Checksum()}
+	feed := gossip.NewFeed(after, f.pos, changes)
+	feed.AgeMS, feed.Checksum = age.Milliseconds(), f.dir.Checksum()
+	return feed
 }
 
 // Wake makes a host that waits for feeds check whether it reads the store now.
--- a/transport/follow/fetch_test.go
+++ b/transport/follow/fetch_test.go
@@ -23,7 +23,7 @@
 	reader.cfg.Feed = x.feed
 	is.NoErr(reader.read(context.Background(), ReasonReader))
 	x.peers.set(false)
-	x.peers.fetched = func(after store.Index) { x.ApplyFetched(reader.ChangesSince(after)) }
+	x.peers.fetched = func(after store.Position) { x.ApplyFetched(reader.ChangesSince(after)) }
 	x.start(t)
 	eventually(t, "first view", func() bool { return x.lastView() != nil })
 	x.feed.put("t/2", "1")
@@ -39,7 +39,7 @@
 	is := is.New(t)
 	x := newFixture(time.Millisecond)
 	x.peers.set(false)
-	x.peers.fetched = func(store.Index) {}
+	x.peers.fetched = func(store.Position) {}
 	x.start(t)
 	eventually(t, "first view", func() bool { return x.lastView() != nil })
 	x.feed.put("t/2", "1")
@@ -58,8 +58,8 @@
 	eventually(t, "first view", func() bool { return x.lastView() != nil })
 	x.feed.fail(&store.Error{Op: store.OpChanges, Kind: store.Overloaded})
 	x.peers.mu.Lock()
-	x.peers.fetched = func(after store.Index) {
-		x.ApplyFetched(&gossip.Feed{From: after, To: 3, Changes: []gossip.Change{{Key: "t/2", Value: []byte("1"), Revision: 3}}})
+	x.peers.fetched = func(after store.Position) {
+		x.ApplyFetched(&gossip.Feed{From: after.Index, To: 3, Changes: []gossip.Change{{Key: "t/2", Value: []byte("1"), Revision: 3}}})
 	}
 	x.peers.mu.Unlock()
 	eventually(t, "changed view", func() bool { return len(x.lastView().Targets) == 2 })
@@ -84,6 +84,7 @@
 	var all []gossip.Change
 	var log changeLog
 	var index store.Index
+	at := func(index store.Index) store.Position { return store.Position{Index: index} }
 	for range 2000 {
 		from := index
 		var changes []gossip.Change
@@ -94,10 +95,10 @@
 		}
 		index += store.Index(rng.IntN(3)) // heartbeats, which the log leaves out
 		overlap := min(from, store.Index(rng.IntN(2)))
-		log.add(from-overlap, index, changes)
+		log.add(at(from-overlap), at(index), changes)
 		is.True(log.bytes <= maxLogBytes)
 		after := index - min(index, store.Index(rng.IntN(700)))
-		got, ok := log.since(after)
+		got, ok := log.since(at(after))
 		if !ok {
 			continue
 		}
@@ -112,9 +113,9 @@
 			is.Equal(got[i].Revision, want[i].Revision)
 		}
 	}
-	is.True(log.from > 0) // the bound was reached
-	log.add(index+10, index+11, nil)
-	_, ok := log.since(index)
+	is.True(log.from.Index > 0) // the bound was reached
+	log.add(at(index+10), at(index+11), nil)
+	_, ok := log.since(at(index))
 	is.True(!ok) // a gap
 }
 
@@ -131,8 +132,8 @@
 	is.Equal(x.completeTo, complete)
 	is.Equal(x.lastUpdate, updated)
 	time.Sleep(20 * time.Millisecond)
-	is.True(x.ChangesSince(2).AgeMS >= 20) // not the reader's own feed
-	is.Equal(x.ChangesSince(3), nil)       // not known yet
+	is.True(x.ChangesSince(store.Position{Index: 2}).AgeMS >= 20) // not the reader's own feed
+	is.Equal(x.ChangesSince(store.Position{Index: 3}), nil)       // not known yet
 	x.ApplyFetched(&gossip.Feed{From: 2, To: 4})
 	is.Equal(len(x.peers.sent), 1)
 	is.True(x.lastUpdate > updated)
@@ -158,8 +159,8 @@
 	is.Equal(other.lastView().Targets[0].Gone, true)
 	is.Equal(other.lastView().Targets[1].Key, fleet.TargetKey("2"))
 	is.Equal(len(other.lastView().ZonesOut), 0)
-	is.Equal(other.index, reader.index)
-	changes := other.ChangesSince(3)
+	is.Equal(other.pos, reader.pos)
+	changes := other.ChangesSince(store.Position{Index: 3})
 	is.Equal(len(changes.Changes), 3) // those of the list are in the log, too
 }
 
--- a/transport/follow/follow.go
+++ b/transport/follow/follow.go
@@ -81,10 +81,10 @@
 	ReadsStore() bool
 	// SendFeed sends the changes read from the store to the other hosts.
 	SendFeed(f *gossip.Feed)
-	// Fetch requests the changes after an index from another host, without
+	// Fetch requests the changes after a position from another host, without
 	// waiting for the reply, which ApplyFeed receives. It reports false if there
 	// is no such host.
-	Fetch(after store.Index) bool
+	Fetch(after store.Position) bool
 	// FeedWait returns how much longer than the first host of the zone this one
 	// waits for a missing feed before it reads the store itself.
 	FeedWait() time.Duration
@@ -99,9 +99,10 @@
 	mu    sync.Mutex
 	dir   *fleet.Directory
 	stats Stats
-	// index is the position in the store's history up to which all changes are
-	// known. It is valid only while listed is set.
-	index  store.Index
+	// pos is the position in the store's history up to which all changes are
+	// known; its index is 0 before the first list. Changes can be read from it
+	// while listed is set; otherwise the next read is a list.
+	pos    store.Position
 	listed bool
 	// lastUpdate is when the store or a feed last provided an update.
 	lastUpdate time.Duration
@@ -131,8 +132,17 @@
 	// rejected maps each entry that can't be decoded to its error, so that it is
 	// logged once.
 	rejected map[store.Key]string
-	// operatorKeys are the operator's entries that the store holds.
-	operatorKeys map[store.Key]bool
+	// operator holds the operator's entries that the store holds or held.
+	operator map[store.Key]operatorEntry
+	// heldUntil is the end of the grace after the store returned from a copy.
+	// relistPending is set until the list that follows it.
+	heldUntil     time.Duration
+	relistPending bool
+	// keptInList is the number of entries of the last list that did not override
+	// what was known.
+	keptInList int
+	// epochMissing is set once a response did not name the store's epoch.
+	epochMissing bool
 }
 
 // Stats are the totals and the state of a Follower, for metrics.
@@ -148,7 +158,12 @@
 	Rejected int
 	// Feeds counts the applied feeds of other hosts.
 	Feeds uint64
-	Ready bool
+	// Epoch is the epoch of the store, Restores counts its returns from a copy and
+	// Kept the entries of copies that did not override what was known.
+	Epoch    store.Epoch
+	Restores uint64
+	Kept     uint64
+	Ready    bool
 }
 
 // New returns a follower with an empty directory.
@@ -157,7 +172,7 @@
 		cfg.PollInterval = DefaultPollInterval
 	}
 	return &Follower{
-		cfg: cfg, dir: fleet.NewDirectory(), rejected: map[store.Key]string{}, operatorKeys: map[store.Key]bool{}, wakeup: make(chan struct{}, 1),
+		cfg: cfg, dir: fleet.NewDirectory(), rejected: map[store.Key]string{}, operator: map[store.Key]operatorEntry{}, wakeup: make(chan struct{}, 1),
 		stats: Stats{Calls: map[Call]uint64{}, Failures: map[store.Kind]uint64{}},
 	}
 }
@@ -170,12 +185,12 @@
 	return f.dir.Ready()
 }
 
-// StoreAnswers reports whether the entries were listed and the last call to the
-// store succeeded.
+// StoreAnswers reports whether the entries were listed once and the last call to
+// the store succeeded.
 func (f *Follower) StoreAnswers() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.listed && !f.storeLost
+	return f.pos.Index > 0 && !f.storeLost
 }
 
 // CompleteTo returns the time up to which this host knows all writes to the
@@ -221,22 +236,33 @@
 // the last call.
 func (f *Follower) read(ctx context.Context, reason Reason) error {
 	f.mu.Lock()
-	listed, index := f.listed, f.index
+	if f.relistDue() {
+		f.listed = false
+		reason = ReasonRestored
+	}
+	listed, after := f.listed, f.pos
 	f.countCall(reason)
 	f.mu.Unlock()
 	if listed {
-		return f.readChanges(ctx, index, reason)
+		return f.readChanges(ctx, after, reason)
 	}
 	return f.list(ctx, reason)
 }
 
-// readChanges reads the changes after an index and sends them to the other
+// readChanges reads the changes after a position and sends them to the other
 // hosts of the zone if this host is their reader.
-func (f *Follower) readChanges(ctx context.Context, after store.Index, reason Reason) error {
+func (f *Follower) readChanges(ctx context.Context, after store.Position, reason Reason) error {
 	start := f.cfg.Clock()
-	got, err := f.cfg.Feed.Changes(ctx, "", after, watchWait)
-	f.passOn(f.applyChanges(after, start, got, err), reason)
-	return err
+	got, err := f.cfg.Feed.Changes(ctx, "", after.Index, watchWait)
+	if err != nil {
+		return err
+	}
+	feed, err := f.applyChanges(after, start, got)
+	if err != nil {
+		return err
+	}
+	f.passOn(feed, reason)
+	return nil
 }
 
 // passOn sends changes to the other hosts of the zone if this host reads the
@@ -271,10 +297,14 @@
 		kind = e.Kind
 	}
 	f.stats.Failures[kind]++
-	if kind == store.HistoryLost {
+	switch kind {
+	case store.HistoryLost:
 		f.listed = false
 		f.cfg.Log.Warn().Str("event", "store_history_lost").Err(err).Send()
 		return
+	case store.Outdated:
+		f.cfg.Log.Info().Str("event", "store_response_outdated").Err(err).Send()
+		return
 	}
 	f.storeLost = true
 	if f.dir.StoreLost() {
@@ -306,6 +336,7 @@
 	s.Failures = maps.Clone(f.stats.Failures)
 	s.Rejected = len(f.rejected)
 	s.LastUpdate = f.lastUpdate
+	s.Epoch = f.pos.Epoch
 	return s
 }
 
--- a/transport/follow/follow_test.go
+++ b/transport/follow/follow_test.go
@@ -25,6 +25,7 @@
 	mu      sync.Mutex
 	entries []store.Entry
 	changes []store.Change
+	epoch   store.Epoch
 	index   store.Index
 	err     error
 	lists   int
@@ -38,7 +39,7 @@
 	if f.err != nil {
 		return store.Snapshot{}, f.err
 	}
-	return store.Snapshot{Entries: append([]store.Entry(nil), f.entries...), Index: f.index}, nil
+	return store.Snapshot{Entries: append([]store.Entry(nil), f.entries...), Epoch: f.epoch, Index: f.index}, nil
 }
 
 func (f *feed) Changes(_ context.Context, _ store.Key, after store.Index, _ time.Duration) (store.Changes, error) {
@@ -48,7 +49,7 @@
 	if f.err != nil {
 		return store.Changes{}, f.err
 	}
-	got := store.Changes{Index: f.index}
+	got := store.Changes{Epoch: f.epoch, Index: f.index}
 	for _, c := range f.changes {
 		if store.Index(c.Revision) > after {
 			got.List = append(got.List, c)
@@ -109,7 +110,7 @@
 	sent  []gossip.Feed
 	// fetched answers the calls of Fetch, which fetches counts; without it there
 	// is no host to fetch from.
-	fetched func(after store.Index)
+	fetched func(after store.Position)
 	fetches int
 	// feedWait is the result of FeedWait.
 	feedWait time.Duration
@@ -128,7 +129,7 @@
 }
 
 // Fetch implements Peers: it counts the calls and lets fetched answer them.
-func (p *stubPeers) Fetch(after store.Index) bool {
+func (p *stubPeers) Fetch(after store.Position) bool {
 	p.mu.Lock()
 	p.fetches++
 	fetched := p.fetched
@@ -351,7 +352,7 @@
 	is.Equal(to, now-time.Millisecond) // the start of the last call
 
 	now += time.Second
-	x.ApplyFeed(&gossip.Feed{From: x.index, To: x.index})
+	x.ApplyFeed(&gossip.Feed{From: x.pos.Index, To: x.pos.Index})
 	to, complete = x.CompleteTo()
 	is.True(complete)
 	is.Equal(to, now-maxFeedDelay) // minus the longest time in transit
--- a/transport/follow/list.go
+++ b/transport/follow/list.go
@@ -3,10 +3,11 @@
 import (
 	"cmp"
 	"context"
-	"maps"
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/jujubehaven/jujubehaven/coordination/store"
 	"github.com/jujubehaven/jujubehaven/protocol/gossip"
 )
@@ -20,51 +21,101 @@
 	if err != nil {
 		return err
 	}
-	f.passOn(f.applyList(start, all), reason)
+	feed, err := f.applyList(start, all)
+	if err != nil {
+		return err
+	}
+	f.passOn(feed, reason)
 	return nil
 }
 
 // applyList applies all entries, read by a call that began at start. It returns
-// the changes since the last read as a feed, nil at the first read.
-func (f *Follower) applyList(start time.Duration, all store.Snapshot) *gossip.Feed {
+// the changes since the last read as a feed, nil if they don't continue from
+// there. A list of an older epoch is an error.
+func (f *Follower) applyList(start time.Duration, all store.Snapshot) (*gossip.Feed, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.resolveEpoch(&all.Epoch)
+	if all.Epoch < f.pos.Epoch {
+		return nil, &store.Error{
+			Op: store.OpList, Kind: store.Outdated, Epoch: all.Epoch, Cause: errors.Newf("epoch %d is before epoch %d", all.Epoch, f.pos.Epoch),
+		}
+	}
 	f.recordSuccess()
+	if f.pos.Epoch == 0 && f.pos.Index > 0 && all.Epoch != 0 {
+		f.adoptEpoch(all.Epoch)
+	}
+	former := f.pos
+	if f.restored(&all) {
+		f.recordRestore(all.Position())
+	}
 	var feed *gossip.Feed
-	if f.index > 0 && all.Index >= f.index {
-		feed = &gossip.Feed{From: f.index, To: all.Index, Changes: f.changesInList(all)}
+	if former.Index == 0 {
+		f.applyFirstList(&all)
+	} else {
+		feed = gossip.NewFeed(former, all.Position(), f.applyLaterList(&all))
+	}
+	f.dir.SetListed()
+	f.pos, f.listed, f.lastList = all.Position(), true, f.cfg.Clock()
+	if feed != nil && f.pos.Before(former) {
+		feed = nil // hosts at the former position could not apply it
 	}
-	f.applyOperatorEntries(all.Entries)
-	f.applyTargetEntries(all.Entries)
-	f.index, f.listed, f.lastList = 0, true, f.cfg.Clock()
 	if feed != nil {
-		f.recent.add(feed.From, feed.To, feed.Changes)
+		f.recent.add(former, f.pos, feed.Changes)
 	} else {
-		f.recent.reset(all.Index)
+		f.recent.reset(f.pos)
 	}
-	f.advance(all.Index, start, f.cfg.Clock())
+	f.advance(f.pos, start, f.cfg.Clock())
 	f.publish()
-	f.cfg.Log.Info().Str("event", "store_listed").Int("entries", len(all.Entries)).Uint64("revision", uint64(all.Index)).Send()
+	f.cfg.Log.Info().Str("event", "store_listed").Int("entries", len(all.Entries)).Uint64("epoch", uint64(all.Epoch)).
+		Uint64("revision", uint64(all.Index)).Int("kept", f.keptInList).Send()
 	if feed != nil {
 		feed.Checksum = f.dir.Checksum()
 	}
-	return feed
+	return feed, nil
 }
 
-// changesInList applies the entries of a list that were written since the last
-// read. It returns these, without heartbeats, and the entries that are no longer
-// in the list, as deleted at the list's index.
-func (f *Follower) changesInList(all store.Snapshot) []gossip.Change {
+// applyFirstList applies all entries as the first ones that this host knows.
+func (f *Follower) applyFirstList(all *store.Snapshot) {
+	f.keptInList = 0
+	for _, e := range all.Entries {
+		switch {
+		case e.Key.HasPrefix(f.cfg.Keys.Operator):
+			f.applyOperator(store.Change{Entry: e})
+		case e.Key.HasPrefix(f.cfg.Keys.Targets):
+			if t, ok := f.decodeTarget(e); ok {
+				f.dir.PutTarget(f.cfg.Clock(), t)
+			}
+		}
+	}
+}
+
+// applyLaterList applies all entries of a list to what this host knows. It returns
+// the differences as changes, without heartbeats. Entries that are no longer in
+// the list are deleted at the list's index. In the grace after a restore the list
+// may be a copy that is older than what this host knows.
+func (f *Follower) applyLaterList(all *store.Snapshot) []gossip.Change {
+	f.keptInList = 0
+	held := f.cfg.Clock() < f.heldUntil
+	if !held {
+		f.relistPending = false
+	}
 	var changes []gossip.Change
 	listed := make(map[store.Key]bool, len(all.Entries))
 	for _, e := range all.Entries {
 		listed[e.Key] = true
-		if store.Index(e.Revision) > f.index && f.apply(store.Change{Entry: e}) {
-			changes = append(changes, gossip.Change{Key: e.Key, Value: e.Value, Revision: e.Revision})
+		if f.applyListed(e, held) {
+			// What was held back for a while has an older revision than the hosts
+			// that get this change know of.
+			revision := e.Revision
+			if store.Index(revision) <= f.pos.Index {
+				revision = store.Revision(all.Index)
+			}
+			changes = append(changes, gossip.Change{Key: e.Key, Value: e.Value, Revision: revision})
 		}
 	}
 	for _, key := range f.knownKeys() {
-		if !listed[key] {
+		if !listed[key] && f.applyUnlisted(key, all.Index, held) {
 			changes = append(changes, gossip.Change{Key: key, Revision: store.Revision(all.Index), Deleted: true})
 		}
 	}
@@ -72,9 +123,49 @@
 	return changes
 }
 
+// applyListed applies one entry of a list and reports whether anything but a
+// target's heartbeat changed.
+func (f *Follower) applyListed(e store.Entry, held bool) bool {
+	switch {
+	case e.Key.HasPrefix(f.cfg.Keys.Operator):
+		if held && f.keepsZone(e) {
+			f.recordKept(e.Key, keepZoneIn)
+			return false
+		}
+		return f.applyOperator(store.Change{Entry: e})
+	case !e.Key.HasPrefix(f.cfg.Keys.Targets):
+		return false
+	case held:
+		return f.applyCopiedTarget(e)
+	}
+	return f.apply(store.Change{Entry: e})
+}
+
+// applyUnlisted applies that a known entry is not in a list and reports whether
+// anything changed.
+func (f *Follower) applyUnlisted(key store.Key, index store.Index, held bool) bool {
+	if key.HasPrefix(f.cfg.Keys.Targets) {
+		if target := f.targetKey(key); f.dir.RemoveTarget(f.cfg.Clock(), target) {
+			f.cfg.Log.Info().Str("event", "target_removed").Str("target", string(target)).Bool("listed", true).Send()
+		}
+		return true
+	}
+	if held {
+		f.recordKept(key, keepZoneOut)
+		return false
+	}
+	f.applyOperator(store.Change{Entry: store.Entry{Key: key, Revision: store.Revision(index)}, Deleted: true})
+	return true
+}
+
 // knownKeys returns the keys of all entries that this host knows of.
 func (f *Follower) knownKeys() []store.Key {
-	keys := slices.Collect(maps.Keys(f.operatorKeys))
+	var keys []store.Key
+	for key, known := range f.operator {
+		if !known.deleted {
+			keys = append(keys, key)
+		}
+	}
 	for _, key := range f.dir.TargetKeys() {
 		keys = append(keys, f.cfg.Keys.Targets+store.Key(key))
 	}
--- a/transport/follow/log_test.go
+++ b/transport/follow/log_test.go
@@ -29,7 +29,7 @@
 		want []string
 	}{
 		{"start", func(*fixture) {}, []string{
-			`event=config_in_force former=0 .*version=1`, `event=store_listed entries=2 revision=2`,
+			`event=config_in_force former=0 .*version=1`, `event=store_listed entries=2 epoch=0 kept=0 revision=2`,
 		}},
 		{"new target", func(x *fixture) { x.feed.put("t/2", "1") }, []string{`event=target_changed address=10.0.0.1:80 change=new .*target=2`}},
 		{"removed target", func(x *fixture) { deleted(x, "t/1") }, []string{`event=target_removed revision=3 target=1`}},
--- a/transport/gossip/feed.go
+++ b/transport/gossip/feed.go
@@ -36,14 +36,14 @@
 	return int(float64(mbps) * 1e6 / 8 * maxFeedTime.Seconds())
 }
 
-// Fetch requests the changes after an index from the zone's reader, or from
+// Fetch requests the changes after a position from the zone's reader, or from
 // hosts of other zones if this host is the reader. It reports whether there is a
 // host to request them from; the reply arrives as a feed.
-func (e *Exchange) Fetch(after store.Index) bool {
+func (e *Exchange) Fetch(after store.Position) bool {
 	e.mu.Lock()
 	to := e.peers.FetchFrom(e.cfg.Clock())
 	e.mu.Unlock()
-	e.send(&gossip.Message{Kind: gossip.KindFetch, From: e.cfg.Self, After: after}, addrs(to)...)
+	e.send(&gossip.Message{Kind: gossip.KindFetch, From: e.cfg.Self, After: after.Index, AfterEpoch: after.Epoch}, addrs(to)...)
 	return len(to) > 0
 }
 
@@ -55,8 +55,8 @@
 	return e.peers.FeedWait(e.cfg.Clock())
 }
 
-// replyToFetch sends the changes after an index, if this host knows them.
-func (e *Exchange) replyToFetch(after store.Index, to netip.AddrPort) {
+// replyToFetch sends the changes after a position, if this host knows them.
+func (e *Exchange) replyToFetch(after store.Position, to netip.AddrPort) {
 	feed := e.cfg.Local.ChangesSince(after)
 	if feed == nil {
 		return
--- a/transport/gossip/gossip.go
+++ b/transport/gossip/gossip.go
@@ -46,9 +46,9 @@
 	HandleFeed(f *gossip.Feed, fetched bool)
 	// HandleReaderStore receives whether the store answers the zone's reader.
 	HandleReaderStore(answers bool)
-	// ChangesSince returns the changes of the store after an index, nil if this
+	// ChangesSince returns the changes of the store after a position, nil if this
 	// host doesn't know all of them.
-	ChangesSince(after store.Index) *gossip.Feed
+	ChangesSince(after store.Position) *gossip.Feed
 	// HandleReader is called when this host begins or ends to read the store for
 	// its zone.
 	HandleReader()
@@ -163,7 +163,7 @@
 		}
 		e.cfg.Local.HandleFeed(m.Feed, fetched)
 	case m.Kind == gossip.KindFetch:
-		e.replyToFetch(m.After, from)
+		e.replyToFetch(store.Position{Epoch: m.AfterEpoch, Index: m.After}, from)
 	}
 }
 
--- a/transport/gossip/gossip_test.go
+++ b/transport/gossip/gossip_test.go
@@ -36,10 +36,10 @@
 	readerStore []bool
 }
 
-func (s *localStub) ChangesSince(after store.Index) *gossip.Feed {
+func (s *localStub) ChangesSince(after store.Position) *gossip.Feed {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.changes == nil || s.changes.From > after {
+	if s.changes == nil || after.Before(s.changes.Start()) {
 		return nil
 	}
 	return s.changes
@@ -309,6 +309,6 @@
 	if other == reader {
 		other = hosts[1]
 	}
-	is.True(other.Fetch(5))
+	is.True(other.Fetch(store.Position{Index: 5}))
 	eventually(t, "the reply to the fetch", func() bool { return len(other.receivedFeeds()) == 2 })
 }
