--- a/coordination/balancer/replication.go
+++ b/coordination/balancer/replication.go
@@ -34,8 +34,6 @@
 	// that capacity is left.
 	budgetBurstSeconds = 1
 	idleBudgetFraction = 0.5
-	// replicationMinAge is how old a flow must be before a sweep replicates it.
-	replicationMinAge = 5 * time.Second
 )
 
 // replicator collects fingerprints to send to other hosts, limited by a token
--- a/coordination/balancer/sweep.go
+++ b/coordination/balancer/sweep.go
@@ -116,9 +116,7 @@
 	if e.State == flow.Closing && sinceTicks(now, e.LastSeen) > closingQuietTime {
 		b.release(tv, now, e)
 	}
-	if sinceTicks(now, e.Since) >= replicationMinAge {
-		b.replicateFlow(now, v, tv, k, e)
-	}
+	b.replicateFlow(now, v, tv, k, e)
 }
 
 // sweepActionOf returns what a sweep does with the flow.
--- a/internal/tokenhost/metrics.go
+++ b/internal/tokenhost/metrics.go
@@ -25,6 +25,7 @@
 	targetFlows, targetRequests, targetSilent         *prometheus.Desc
 	unreachableZones                                  *prometheus.Desc
 	storeCalls, storeFailures, viewAge                *prometheus.Desc
+	storeEpoch, storeRestores, keptEntries            *prometheus.Desc
 	feeds, configVersion, rejectedEntries, ready      *prometheus.Desc
 	gossipSent, gossipSentBytes, gossipReceived       *prometheus.Desc
 	zoneHosts, readsStore, linesLeftOut, linesDropped *prometheus.Desc
@@ -52,6 +53,9 @@
 		storeCalls:       newDesc("store_calls_total", "Calls to the store by operation and reason.", "operation", "reason"),
 		storeFailures:    newDesc("store_failures_total", "Calls without a usable answer.", "kind"),
 		viewAge:          newDesc("view_age_seconds", "Time since the store or a feed told this host anything."),
+		storeEpoch:       newDesc("store_epoch", "Epoch of the store, 0 if it reports none."),
+		storeRestores:    newDesc("store_restores_total", "Returns of the store from an older copy."),
+		keptEntries:      newDesc("kept_entries_total", "Entries of a copy of the store that did not override what this host knew."),
 		feeds:            newDesc("feeds_total", "Feeds of the zone's reader that were applied."),
 		configVersion:    newDesc("config_version", "Version of the configuration in force."),
 		rejectedEntries:  newDesc("rejected_entries", "Entries of the store that can't be read."),
@@ -70,6 +74,7 @@
 	return []*prometheus.Desc{
 		c.received, c.undecodable, c.decisions, c.sendErrors, c.repeatedOpenings, c.repeatedData, c.silenced, c.flows,
 		c.targetFlows, c.targetRequests, c.targetSilent, c.unreachableZones, c.storeCalls, c.storeFailures, c.viewAge, c.feeds,
+		c.storeEpoch, c.storeRestores, c.keptEntries,
 		c.configVersion, c.rejectedEntries, c.ready, c.gossipSent, c.gossipSentBytes, c.gossipReceived, c.zoneHosts,
 		c.readsStore, c.linesLeftOut, c.linesDropped,
 	}
@@ -147,6 +152,9 @@
 		out.counter(c.storeFailures, n, kind.String())
 	}
 	out.gauge(c.viewAge, (c.host.clock() - f.LastUpdate).Seconds())
+	out.gauge(c.storeEpoch, float64(f.Epoch))
+	out.counter(c.storeRestores, f.Restores)
+	out.counter(c.keptEntries, f.Kept)
 	out.counter(c.feeds, f.Feeds)
 	out.gauge(c.configVersion, float64(f.ConfigVersion))
 	out.gauge(c.rejectedEntries, float64(f.Rejected))
