--- a/coordination/steering/reachability_test.go
+++ b/coordination/steering/reachability_test.go
@@ -205,11 +205,14 @@
 	cases := map[string]struct {
 		queried  bool
 		answered bool
+		// silent is set if the zone's hosts were found silent before.
+		silent bool
 		to       packet.Endpoint
 		want     Kind
 	}{
 		"its hosts are silent, too":     {queried: true, to: feeds, want: Reset},
 		"its hosts were not queried":    {to: feeds, want: Forward},
+		"its hosts were silent before":  {silent: true, to: feeds, want: Reset},
 		"one of its hosts answers":      {queried: true, answered: true, to: feeds, want: Forward},
 		"the request may not run twice": {queried: true, to: orders, want: Forward},
 	}
@@ -217,6 +220,9 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			w := newFixture(t)
+			if c.silent {
+				w.SetPeerLoads(&PeerLoads{SilentZones: []string{"b"}})
+			}
 			cutZone(w, "b")
 			if c.queried {
 				w.SetZoneQueries(w.now, []string{"b"}, nil)
@@ -237,3 +243,47 @@
 		})
 	}
 }
+
+// Guards against the second that callers of a zone without power lost at hosts of
+// other zones: these saw few of its flows each, and judged the zone only after they
+// had queried its hosts. What other hosts of the zone see counts if the lost zone's
+// hosts were found silent before, and then one unanswered flow of this host is
+// enough.
+func TestLostZoneIsGivenUpOnEvidenceOfOthers(t *testing.T) {
+	for _, silent := range []bool{false, true} {
+		is := is.New(t)
+		w := newFixture(t)
+		w.now += 5 * time.Second
+		loads := &PeerLoads{Hosts: 29, Settled: true, Targets: map[Token]TargetLoad{}}
+		if silent {
+			loads.SilentZones = []string{"b"}
+		}
+		for key, target := range w.targets {
+			if target.entry.Zone == "b" && key != "b1" {
+				loads.Targets[TokenOf(key)] = TargetLoad{Unanswered: 1}
+			} else if target.entry.Zone == "a" {
+				target.health.recordAnswer(w.now)
+			}
+		}
+		w.SetPeerLoads(loads)
+		moved := w.caller(9, feeds) // opened through a host of zone b
+		moved.token = TokenOf("b1")
+		moved.p.Ack = 501
+		is.Equal(moved.sendRequest().Kind, Forward) // nothing shows yet that b1 is dead
+		w.now += 200 * time.Millisecond
+		for _, target := range w.targets {
+			if target.entry.Zone == "a" {
+				target.health.recordAnswer(w.now)
+			}
+		}
+		moved.send() // the caller's first retransmission
+		other := w.caller(10, feeds)
+		other.token = TokenOf("b2")
+		other.p.Ack = 501
+		want := Forward
+		if silent {
+			want = Reset
+		}
+		is.Equal(other.sendRequest().Kind, want)
+	}
+}
