Keep flows of a lost zone's targets that are not silent themselves

The verdict about the zone was enough to end any flow there since.

The new case of TestFlowsOfLostZoneAreGivenUp and the kept flow of TestLostZoneIsGivenUpOnEvidenceOfOthers fail without it.

--- a/coordination/steering/deadflows.go
+++ b/coordination/steering/deadflows.go
@@ -14,13 +14,17 @@
 // sent elsewhere, so their flows are reset as soon as the evidence suffices, and
 // the flows of requests that follow at once. In a large zone each host sees few
 // flows of a target; the evidence is therefore summed over the hosts of the zone.
-// Flows of a zone that was lost with its hosts reach hosts that have seen nothing
-// of them; the evidence about the zone's path serves for them.
+// Flows of a zone that was lost with its hosts reach hosts that have seen little
+// of them; less evidence about a target suffices then. Some does, as a few targets
+// of a lost zone may still serve.
 
 // givesUp reports whether a flow of the route that waits for an answer of the
-// target is to be reset: the target is dead, or its zone is unreachable for long.
+// target is to be reset: the target is dead, or its zone is lost and it is silent.
 func (s *Steering) givesUp(now time.Duration, r *route, t *target) bool {
-	return r.idempotent && (t.health.dead(now, t.peersUnanswered) || t.path.lost(now))
+	if !r.idempotent {
+		return false
+	}
+	return t.health.dead(now, t.peersUnanswered) || (t.path.lost(now) && t.health.silentInLostZone(now))
 }
 
 // confirmSilences marks the targets as silent that left flows unanswered at this
--- a/coordination/steering/health.go
+++ b/coordination/steering/health.go
@@ -143,6 +143,14 @@
 		now-since >= minDeadSilence && now-h.lastUnanswered < unansweredWindow
 }
 
+// silentInLostZone reports whether the flows of a target whose zone is lost are to
+// be given up: it is silent, or one flow has waited for long, and one of this host
+// went unanswered recently.
+func (h *health) silentInLostZone(now time.Duration) bool {
+	waited := h.unansweredFlows > 0 && now-h.unansweredSince >= minDeadSilence
+	return (h.silent || waited) && now-h.lastUnanswered < unansweredWindow
+}
+
 // answering reports whether the target answered recently.
 func (h *health) answering(now time.Duration) bool { return now-h.lastProgress < answerWindow }
 
