--- a/coordination/steering/reachability_test.go
+++ b/coordination/steering/reachability_test.go
@@ -260,6 +260,8 @@
 	for _, silent := range []bool{false, true} {
 		is := is.New(t)
 		w := newFixture(t)
+		w.add("b3", "book", "b")
+		w.apply()
 		w.now += 5 * time.Second
 		loads := &PeerLoads{Hosts: 29, Settled: true, Targets: map[Token]TargetLoad{}}
 		if silent {
