--- a/coordination/peers/probes_test.go
+++ b/coordination/peers/probes_test.go
@@ -45,7 +45,7 @@
 	is.Equal(p.SilentZones(time.Second), []string{"b"})
 	p.Receive(time.Second, &gossip.Message{Kind: gossip.KindProbeReply, From: probeHost(2, "b")})
 	is.Equal(len(p.SilentZones(time.Second)), 0)
-	is.Equal(p.SilentZones(time.Second + silentZoneTimeout), []string{"b", "c"})
+	is.Equal(p.SilentZones(time.Second+silentZoneTimeout), []string{"b", "c"})
 }
 
 // Guards against a host that was paused and takes the others for silent when it
--- a/internal/tokenhost/metrics.go
+++ b/internal/tokenhost/metrics.go
@@ -21,6 +21,7 @@
 	host *Host
 
 	received, undecodable, decisions, sendErrors      *prometheus.Desc
+	waited                                            *prometheus.Desc
 	repeatedOpenings, repeatedData, silenced, flows   *prometheus.Desc
 	targetFlows, targetRequests, targetSilent         *prometheus.Desc
 	unreachableZones                                  *prometheus.Desc
@@ -39,6 +40,7 @@
 	return &collector{
 		host:             h,
 		received:         newDesc("received_packets_total", "Datagrams read from the data socket."),
+		waited:           newDesc("waited_packets_total", "Packets that waited for the host's first view."),
 		undecodable:      newDesc("undecodable_packets_total", "Datagrams that are no packet of a caller."),
 		decisions:        newDesc("decisions_total", "Packets by what was done and why.", "action", "cause"),
 		sendErrors:       newDesc("send_errors_total", "Packets that the system did not send."),
@@ -72,7 +74,7 @@
 
 func (c *collector) descs() []*prometheus.Desc {
 	return []*prometheus.Desc{
-		c.received, c.undecodable, c.decisions, c.sendErrors, c.repeatedOpenings, c.repeatedData, c.silenced, c.flows,
+		c.received, c.waited, c.undecodable, c.decisions, c.sendErrors, c.repeatedOpenings, c.repeatedData, c.silenced, c.flows,
 		c.targetFlows, c.targetRequests, c.targetSilent, c.unreachableZones, c.storeCalls, c.storeFailures, c.viewAge, c.feeds,
 		c.storeEpoch, c.storeRestores, c.keptEntries,
 		c.configVersion, c.rejectedEntries, c.ready, c.gossipSent, c.gossipSentBytes, c.gossipReceived, c.zoneHosts,
@@ -114,6 +116,7 @@
 func (c *collector) collectPackets(out metricWriter) {
 	s := c.host.packets.Stats()
 	out.counter(c.received, s.Received)
+	out.counter(c.waited, s.Waited)
 	out.counter(c.undecodable, s.Undecodable)
 	out.counter(c.sendErrors, s.SendErrors)
 	out.counter(c.repeatedOpenings, s.Counts.RepeatedOpenings)
--- a/transport/direct/direct.go
+++ b/transport/direct/direct.go
@@ -14,6 +14,7 @@
 
 	"github.com/jujubehaven/jujubehaven/coordination/fleet"
 	"github.com/jujubehaven/jujubehaven/coordination/steering"
+	"github.com/jujubehaven/jujubehaven/protocol/packet"
 )
 
 const (
@@ -65,6 +66,8 @@
 // Stats holds the server's counters since its start and its current state.
 type Stats struct {
 	Received, Undecodable, SendErrors uint64
+	// Waited counts the packets that waited for the first view.
+	Waited uint64
 	// Flows is the current number of flows.
 	Flows   uint64
 	Counts  steering.Counts
@@ -89,6 +92,9 @@
 	cutOff atomic.Bool
 	// The fields below are used only by the goroutine of Run.
 	reply        []byte // the buffer for resets
+	segment      steering.Segment
+	action       steering.Action
+	waiting      waitingPackets
 	current      Stats
 	appliedView  *fleet.View
 	appliedLoads *steering.PeerLoads
@@ -142,8 +148,6 @@
 func (s *Server) Run() error {
 	headroom := s.cfg.Codec.Headroom()
 	buf := make([]byte, headroom+maxDatagram)
-	var p steering.Segment
-	var a steering.Action
 	if err := s.extendReadDeadline(); err != nil {
 		return s.runError(err)
 	}
@@ -160,17 +164,56 @@
 			return s.runError(err)
 		}
 		s.current.Received++
-		if !s.cfg.Codec.Decode(buf[headroom:headroom+n], &p) {
-			s.current.Undecodable++
+		if s.appliedView == nil {
+			s.wait(buf[:headroom+n])
 			continue
 		}
-		now := s.cfg.Clock()
-		s.cfg.Steering.Handle(now, &p, &a)
-		s.execute(buf[:headroom+n], s.reply, &p, &a)
-		s.cfg.Observer.Decided(now, &p, &a)
+		s.handle(buf[:headroom+n])
 	}
 }
 
+// handle decides about a received datagram behind its headroom.
+func (s *Server) handle(buf []byte) {
+	if !s.cfg.Codec.Decode(buf[s.cfg.Codec.Headroom():], &s.segment) {
+		s.current.Undecodable++
+		return
+	}
+	now := s.cfg.Clock()
+	s.cfg.Steering.Handle(now, &s.segment, &s.action)
+	s.execute(buf, s.reply, &s.segment, &s.action)
+	s.cfg.Observer.Decided(now, &s.segment, &s.action)
+}
+
+// wait keeps a datagram for the first view.
+func (s *Server) wait(buf []byte) {
+	if !s.cfg.Codec.Decode(buf[s.cfg.Codec.Headroom():], &s.segment) {
+		s.current.Undecodable++
+		return
+	}
+	now := s.cfg.Clock()
+	s.handleAll(s.waiting.expired(now))
+	s.handleAll(s.waiting.add(now, buf, s.segment.Class == packet.Opening && s.segment.Copy > 0))
+}
+
+// handleAll decides about packets that have waited. Before the first view this
+// drops them.
+func (s *Server) handleAll(list []waitingPacket) {
+	for _, p := range list {
+		s.handle(p.buf)
+	}
+}
+
+// setView applies a view. Packets that have waited for the first one are handled in
+// the order of their arrival, except those that came too early.
+func (s *Server) setView(now time.Duration, v *fleet.View) {
+	s.handleAll(s.waiting.expired(now))
+	s.appliedView = v
+	s.cfg.Steering.SetView(now, v)
+	s.hasView.Store(true)
+	s.current.Waited += uint64(len(s.waiting.list))
+	s.handleAll(s.waiting.take())
+}
+
 // extendReadDeadline lets reads time out after tickInterval, so that an idle
 // reader still ticks.
 func (s *Server) extendReadDeadline() error {
@@ -198,9 +241,7 @@
 // also ticks the steering and publishes the counters.
 func (s *Server) tick(now time.Duration) {
 	if v := s.view.Load(); v != s.appliedView {
-		s.appliedView = v
-		s.cfg.Steering.SetView(now, v)
-		s.hasView.Store(true)
+		s.setView(now, v)
 	}
 	if l := s.loads.Load(); l != s.appliedLoads {
 		s.appliedLoads = l
