--- a/coordination/peers/peers.go
+++ b/coordination/peers/peers.go
@@ -100,15 +100,13 @@
 	// unableSince is when the reader was first seen without the store, 0 while
 	// its store answers.
 	unableSince time.Duration
-	// zoneAnswers holds when a host of each zone last replied to a hello or a probe.
+	// zoneAnswers holds when a host of each zone last replied to a hello.
 	zoneAnswers map[string]time.Duration
-	// probedSince holds since when this host probes each other zone.
-	probedSince map[string]time.Duration
 }
 
 // New returns an empty list for a host.
 func New(self gossip.Host) *Peers {
-	return &Peers{self: self, peers: map[string]*peer{}, heartbeatsPerRound: maxHeartbeatsPerRound, zoneAnswers: map[string]time.Duration{}, probedSince: map[string]time.Duration{}}
+	return &Peers{self: self, peers: map[string]*peer{}, heartbeatsPerRound: maxHeartbeatsPerRound, zoneAnswers: map[string]time.Duration{}}
 }
 
 // Receive processes a message from another host. It reports whether the message
@@ -122,7 +120,7 @@
 		return false
 	}
 	from.lastMessage, from.hasMessage = now, true
-	if m.Kind == gossip.KindHelloReply || m.Kind == gossip.KindProbeReply {
+	if m.Kind == gossip.KindHelloReply {
 		p.zoneAnswers[m.From.Zone] = now
 	}
 	for _, h := range m.KnownHosts {
@@ -212,8 +210,8 @@
 	return list
 }
 
-// ZoneAnswers returns when a host of each zone last replied to a hello or a probe
-// of this host.
+// ZoneAnswers returns when a host of each zone last replied to a hello of this
+// host.
 func (p *Peers) ZoneAnswers() map[string]time.Duration { return maps.Clone(p.zoneAnswers) }
 
 // sorted returns the peers ordered by name.
--- a/coordination/peers/rounds.go
+++ b/coordination/peers/rounds.go
@@ -32,7 +32,6 @@
 func (p *Peers) NextRound(now time.Duration, heartbeatBytes int, loads []gossip.TargetLoad, answers []uint32) []gossip.Host {
 	if now > p.lastRound+stallTimeout {
 		p.readerSeen = now
-		clear(p.probedSince) // replies may wait unread
 	}
 	p.round++
 	p.lastRound = now
@@ -116,7 +115,7 @@
 	if !p.leads || !p.large() {
 		return nil
 	}
-	return &gossip.Digest{Hosts: p.LiveHosts(now), Standby: p.standby(now), Loads: heaviest(p.sumReports(now, p.ownLoads)), SilentZones: p.SilentZones(now)}
+	return &gossip.Digest{Hosts: p.LiveHosts(now), Standby: p.standby(now), Loads: heaviest(p.sumReports(now, p.ownLoads))}
 }
 
 // heaviest returns the loads that fit into a digest.
--- a/coordination/steering/loads.go
+++ b/coordination/steering/loads.go
@@ -1,7 +1,6 @@
 package steering
 
 import (
-	"slices"
 	"time"
 
 	"github.com/jujubehaven/jujubehaven/coordination/fleet"
@@ -46,16 +45,11 @@
 	// zone last answered this host.
 	QueriedZones []string
 	ZoneAnswers  map[string]time.Duration
-	// SilentZones are the zones none of whose hosts answers this host's zone.
-	SilentZones []string
 }
 
 // SetPeerLoads replaces the loads reported by the other hosts.
 func (s *Steering) SetPeerLoads(l *PeerLoads) {
 	s.peerLoads = l
-	for _, path := range s.paths {
-		path.hostsSilent = slices.Contains(l.SilentZones, path.zone)
-	}
 	for _, t := range s.targets {
 		load := l.Targets[t.token]
 		t.peersOpen, t.peersBusy, t.peersUnanswered = load.Open, load.Busy, load.Unanswered
--- a/coordination/steering/reachability.go
+++ b/coordination/steering/reachability.go
@@ -22,10 +22,6 @@
 	// minQueryTime is how long the zone's hosts have to leave queries unanswered
 	// before flows are given up: two rounds of queries.
 	minQueryTime = 400 * time.Millisecond
-	// minLostSilence is how long no target of an unreachable zone may have answered
-	// for its flows to be given up, if the zone's hosts are silent as well: two
-	// causes that are independent of each other agree then.
-	minLostSilence = 500 * time.Millisecond
 	// maxUnreachableHold is how long a zone counts as unreachable without new
 	// evidence. A host that is not ready gets no packets that could show that its
 	// targets answer again.
@@ -59,8 +55,6 @@
 	// queriedSince is since when hosts of the unreachable zone are queried without
 	// an answer, 0 if they are not.
 	queriedSince time.Duration
-	// hostsSilent is set while none of the zone's hosts answers this host's zone.
-	hostsSilent bool
 }
 
 // lost reports whether flows at the zone's targets are to be given up: none of
@@ -68,14 +62,8 @@
 // hosts do not answer either. A few targets of the zone may be dead while others
 // live that this host has sent nothing to.
 func (z *zonePath) lost(now time.Duration) bool {
-	silence := now - z.lastProgress
-	switch {
-	case !z.unreachable || now-z.lastUnanswered >= unansweredWindow:
-		return false
-	case z.hostsSilent:
-		return silence >= minLostSilence
-	}
-	return silence >= minDeadSilence && z.queriedSince > 0 && now-z.queriedSince >= minQueryTime
+	return z.unreachable && now-z.lastProgress >= minDeadSilence && now-z.lastUnanswered < unansweredWindow &&
+		z.queriedSince > 0 && now-z.queriedSince >= minQueryTime
 }
 
 // pathTo returns the path to a zone and creates it if there is none.
@@ -104,8 +92,7 @@
 }
 
 // judgePath decides whether a zone is unreachable after one of its targets left
-// a flow unanswered. If the zone's hosts are silent, too, flows that the targets
-// left unanswered at other hosts of this host's zone count as well.
+// a flow unanswered.
 func (s *Steering) judgePath(now time.Duration, path *zonePath) {
 	path.lastUnanswered = now
 	silence := now - path.lastProgress
@@ -118,7 +105,7 @@
 			continue
 		}
 		eligible++
-		if t.health.lastUnanswered > path.lastProgress || (path.hostsSilent && t.peersUnanswered > 0) {
+		if t.health.lastUnanswered > path.lastProgress {
 			unanswered++
 		}
 	}
--- a/coordination/steering/reachability_test.go
+++ b/coordination/steering/reachability_test.go
@@ -205,8 +205,6 @@
 	cases := map[string]struct {
 		queried  bool
 		answered bool
-		// silent is set if the zone's hosts were found silent before.
-		silent bool
 		// serves is set if the flow's target was not found silent.
 		serves bool
 		to     packet.Endpoint
@@ -214,8 +212,7 @@
 	}{
 		"its hosts are silent, too":        {queried: true, to: feeds, want: Reset},
 		"its hosts were not queried":       {to: feeds, want: Forward},
-		"its hosts were silent before":     {silent: true, to: feeds, want: Reset},
-		"this target was not found silent": {queried: true, silent: true, serves: true, to: feeds, want: Forward},
+		"this target was not found silent": {queried: true, serves: true, to: feeds, want: Forward},
 		"one of its hosts answers":         {queried: true, answered: true, to: feeds, want: Forward},
 		"the request may not run twice":    {queried: true, to: orders, want: Forward},
 	}
@@ -223,9 +220,6 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			w := newFixture(t)
-			if c.silent {
-				w.SetPeerLoads(&PeerLoads{SilentZones: []string{"b"}})
-			}
 			cutZone(w, "b")
 			if c.serves {
 				w.targets["b1"].health = health{}
@@ -249,49 +243,3 @@
 		})
 	}
 }
-
-// Guards against the second that callers of a zone without power lost at hosts of
-// other zones: these saw few of its flows each, and judged the zone only after they
-// had queried its hosts. If the lost zone's hosts were found silent before, what
-// other hosts of this zone see of its targets counts, and two flows that a target
-// left unanswered for 250 ms are enough. A target of the zone that nobody found
-// silent may still serve: its flows are kept.
-func TestLostZoneIsGivenUpOnEvidenceOfOthers(t *testing.T) {
-	for _, silent := range []bool{false, true} {
-		is := is.New(t)
-		w := newFixture(t)
-		w.add("b3", "book", "b")
-		w.apply()
-		w.now += 5 * time.Second
-		loads := &PeerLoads{Hosts: 29, Settled: true, Targets: map[Token]TargetLoad{}}
-		if silent {
-			loads.SilentZones = []string{"b"}
-		}
-		for key, target := range w.targets {
-			if target.entry.Zone == "b" && key != "b1" {
-				loads.Targets[TokenOf(key)] = TargetLoad{Unanswered: 1}
-			}
-		}
-		w.SetPeerLoads(loads)
-		moved := func(n int, key fleet.TargetKey) *caller { // a flow opened through a host of zone b
-			c := w.caller(n, feeds)
-			c.token = TokenOf(key)
-			c.p.Ack = 501
-			is.Equal(c.sendRequest().Kind, Forward) // nothing shows yet that the target is dead
-			return c
-		}
-		dead, serving := moved(9, "b2"), moved(10, "b1")
-		w.now += 200 * time.Millisecond
-		dead.send() // the caller's first retransmission
-		w.now += 50 * time.Millisecond
-		for _, target := range w.targets {
-			if target.entry.Zone == "a" {
-				target.health.recordAnswer(w.now)
-			}
-		}
-		w.Tick(w.now, w.recordReset)
-		is.Equal(w.targets["b2"].path.unreachable, silent)
-		is.Equal(len(w.resets) == 1 && w.resets[0].segment.Flow == dead.p.Flow, silent)
-		is.Equal(serving.send().Kind, Forward)
-	}
-}
--- a/protocol/gossip/gossip.go
+++ b/protocol/gossip/gossip.go
@@ -50,19 +50,12 @@
 	// is the reply, which carries a feed.
 	KindFetch      Kind = "fetch"
 	KindFetchReply Kind = "fetched"
-	// KindProbe requests a KindProbeReply, which shows that the receiver is alive.
-	KindProbe      Kind = "probe"
-	KindProbeReply Kind = "alive"
 )
 
 // Protocol is the version of the messages that this build exchanges. Builds of
 // version 0 know neither digests, relayed messages nor fetches: they expect the
-// heartbeats and feeds of all hosts of their zone directly. Builds before version
-// ProbeProtocol do not reply to probes.
-const (
-	Protocol      = 2
-	ProbeProtocol = 2
-)
+// heartbeats and feeds of all hosts of their zone directly.
+const Protocol = 1
 
 // maxRelays bounds the hosts that a received message may ask to be relayed to.
 const maxRelays = 64
@@ -169,8 +162,6 @@
 	// Loads holds the loads on the targets, summed over the hosts; FastPercent is
 	// the maximum.
 	Loads []TargetLoad `cbor:"3,keyasint,omitempty"`
-	// SilentZones holds the other zones none of whose hosts replies to probes.
-	SilentZones []string `cbor:"4,keyasint,omitempty"`
 }
 
 // Message is one datagram.
--- a/transport/gossip/gossip.go
+++ b/transport/gossip/gossip.go
@@ -179,8 +179,6 @@
 			e.cfg.Local.HandlePeerStore(true)
 		}
 		e.cfg.Local.HandleFeed(m.Feed, fetched)
-	case m.Kind == gossip.KindProbe:
-		e.send(&gossip.Message{Kind: gossip.KindProbeReply, From: e.cfg.Self}, from)
 	case m.Kind == gossip.KindFetch:
 		e.replyToFetch(store.Position{Epoch: m.AfterEpoch, Index: m.After}, from)
 	}
--- a/transport/gossip/gossip_test.go
+++ b/transport/gossip/gossip_test.go
@@ -98,12 +98,6 @@
 
 // startHost starts an exchange with the addresses of other hosts as seeds.
 func startHost(t *testing.T, name, zone string, seeds ...netip.AddrPort) *testHost {
-	t.Helper()
-	return startBuild(t, gossip.Protocol, name, zone, seeds...)
-}
-
-// startBuild starts an exchange of a build with a version of the messages.
-func startBuild(t *testing.T, protocol int, name, zone string, seeds ...netip.AddrPort) *testHost {
 	t.Helper()
 	is := is.New(t)
 	free, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
@@ -114,7 +108,7 @@
 	start := time.Now()
 	h.Exchange, err = New(Config{
 		Listen: addr, Seeds: seeds, Local: h.localStub, Clock: func() time.Duration { return time.Since(start) },
-		Log: logging.New(h.log, zerolog.InfoLevel), Self: gossip.Host{Name: name, Zone: zone, Addr: addr, Started: start.UnixNano(), Protocol: protocol},
+		Log: logging.New(h.log, zerolog.InfoLevel), Self: gossip.Host{Name: name, Zone: zone, Addr: addr, Started: start.UnixNano(), Protocol: gossip.Protocol},
 	})
 	is.NoErr(err)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -243,9 +237,8 @@
 // A host that does not reach the targets of a zone queries hosts of that zone
 // and passes on when they answer.
 func TestUnreachableZoneIsQueried(t *testing.T) {
-	const withoutProbes = gossip.ProbeProtocol - 1 // so that only queries are answered
-	seed := startBuild(t, withoutProbes, "s", "b")
-	startBuild(t, withoutProbes, "f", "b", seed.addr)
+	seed := startHost(t, "s", "b")
+	startHost(t, "f", "b", seed.addr)
 	near := startHost(t, "n", "a", seed.addr)
 	eventually(t, "the seed knows the zone's hosts", func() bool { return seed.Stats().Received >= 2 })
 	near.localStub.mu.Lock()
@@ -265,34 +258,6 @@
 	eventually(t, "another answer", func() bool { return last() > second })
 }
 
-// initialAnswer is a time after which the reply to the first hello has arrived, and
-// before that to the next one.
-const initialAnswer = 300 * time.Millisecond
-
-// A host finds out that the hosts of another zone are down before any packet to
-// the zone's targets is lost.
-func TestSilentZoneIsFoundByProbes(t *testing.T) {
-	seed := startHost(t, "s", "b")
-	near := startHost(t, "n", "a", seed.addr)
-	silent := func() []string {
-		near.localStub.mu.Lock()
-		defer near.localStub.mu.Unlock()
-		if near.peerLoads == nil {
-			return nil
-		}
-		return near.peerLoads.SilentZones
-	}
-	answered := func() bool {
-		near.localStub.mu.Lock()
-		defer near.localStub.mu.Unlock()
-		return near.peerLoads != nil && near.peerLoads.ZoneAnswers["b"] > initialAnswer
-	}
-	eventually(t, "answers to probes", answered)
-	is.New(t).Equal(len(silent()), 0)
-	seed.stop()
-	eventually(t, "the zone is silent", func() bool { return len(silent()) == 1 })
-}
-
 // Over real sockets the hosts of a large zone agree on one reader. Its digests and
 // feeds reach all of them through hosts that relay them, and a host that missed a
 // feed gets it from the reader.
--- a/transport/gossip/round.go
+++ b/transport/gossip/round.go
@@ -28,9 +28,8 @@
 type round struct {
 	// storeAnswers and leaving are this host's state.
 	storeAnswers, leaving bool
-	// heartbeatTo are the receivers of the heartbeat, helloTo those of a hello,
-	// probeTo those of a probe.
-	heartbeatTo, helloTo, probeTo []netip.AddrPort
+	// heartbeatTo are the receivers of the heartbeat, helloTo those of a hello.
+	heartbeatTo, helloTo []netip.AddrPort
 	// digest is sent to the groups unless it is nil.
 	digest *gossip.Digest
 	groups []peers.Group
@@ -58,7 +57,6 @@
 	e.reportChanges(&r)
 	e.cfg.Local.HandleLoads(r.loads)
 	e.send(&gossip.Message{Kind: gossip.KindHello, From: e.cfg.Self}, r.helloTo...)
-	e.send(&gossip.Message{Kind: gossip.KindProbe, From: e.cfg.Self}, r.probeTo...)
 	if err == nil {
 		e.write(heartbeat, r.heartbeatTo...)
 	}
@@ -84,12 +82,11 @@
 	r.prevReads, r.prevHosts = e.reads, e.hosts
 	e.reads = e.peers.ReadsStore(now, r.storeAnswers, r.leaving)
 	e.hosts = e.peers.LiveHosts(now)
-	r.probeTo = addrs(e.peers.ProbeContacts(now))
 	r.reads, r.hosts = e.reads, e.hosts
 	r.digest, r.groups = e.peers.Digest(now), e.peers.Receivers(now)
 	r.loads = &steering.PeerLoads{
 		Hosts: r.hosts, Settled: e.peers.Settled(now), Targets: steeringLoads(e.peers.Loads(now)),
-		QueriedZones: queried, ZoneAnswers: e.peers.ZoneAnswers(), SilentZones: e.peers.SilentZones(now),
+		QueriedZones: queried, ZoneAnswers: e.peers.ZoneAnswers(),
 	}
 }
 
