--- a/coordination/steering/fastanswers_test.go
+++ b/coordination/steering/fastanswers_test.go
@@ -117,3 +117,16 @@
 		is.True(w.caller(n, orders).open(0).Key != fleet.TargetKey("a0"))
 	}
 }
+
+// Guards against failing targets that draw flows again after each change of the
+// configuration, because the routes' usual answer times were forgotten.
+func TestAnswerTimesSurviveAChangeOfConfiguration(t *testing.T) {
+	is := is.New(t)
+	w := newFixture(t)
+	for range 2 * minMedianSamples {
+		w.routes[orders].answerTime.addSample(40 * time.Millisecond)
+	}
+	w.view.Config.Version++
+	w.apply()
+	is.True(w.routes[orders].answerTime.addSample(time.Millisecond)) // far below the median
+}
--- a/coordination/steering/openings.go
+++ b/coordination/steering/openings.go
@@ -16,7 +16,7 @@
 		return
 	}
 	var former *target
-	if f != nil {
+	if f != nil && !s.reusesPort(now, f) {
 		former = f.target
 	}
 	t, cause := s.place(now, p, r, former)
@@ -50,11 +50,17 @@
 	s.refuse(p, a, cause, verdict.NotRun)
 }
 
+// reusesPort reports whether an opening begins a new flow with the addresses and
+// ports of a former one.
+func (s *Steering) reusesPort(now time.Duration, f *flow) bool {
+	return f.closed || now-f.lastSeen > openingRetention
+}
+
 // keepsTarget reports whether a retransmitted opening goes to the same target
 // as before.
 func (s *Steering) keepsTarget(now time.Duration, p *Segment, f *flow) bool {
-	if f.closed || now-f.lastSeen > openingRetention {
-		return false // a new flow that reuses the port
+	if s.reusesPort(now, f) {
+		return false
 	}
 	if f.open {
 		return true
--- a/coordination/steering/openings_test.go
+++ b/coordination/steering/openings_test.go
@@ -143,3 +143,24 @@
 	is.Equal(a.Cause, CauseNoTarget)
 	is.Equal(a.Run, verdict.NotRun)
 }
+
+// Guards against a healthy target that new flows avoid: a caller that reuses the
+// port of a closed flow does not repeat an opening.
+func TestOpeningOnAReusedPortIsNoRepetition(t *testing.T) {
+	is := is.New(t)
+	w := newFixture(t)
+	for _, t := range w.view.Targets {
+		if t.Zone == "a" && t.Key != "a1" {
+			w.entry(t.Key).Draining = true
+		}
+	}
+	w.apply()
+	c := w.caller(1, orders)
+	is.Equal(c.open(0).Key, fleet.TargetKey("a1"))
+	c.confirm()
+	c.p.Class, c.p.Token = packet.Closing, c.token
+	c.send()
+	again := c.open(0)
+	is.Equal(again.Key, fleet.TargetKey("a1")) // the only target of the own zone
+	is.Equal(again.Cause, CausePlaced)
+}
--- a/coordination/steering/view.go
+++ b/coordination/steering/view.go
@@ -37,15 +37,21 @@
 	s.setTargets(now, v)
 }
 
-// setConfig rebuilds the pools and routes from a configuration.
+// setConfig rebuilds the pools and routes from a configuration. What was learned of
+// a route's answer times is kept.
 func (s *Steering) setConfig(c *fleet.Config) {
 	s.pools = make(map[string]*pool, len(c.Services))
 	for name, limits := range c.Services {
 		s.pools[name] = &pool{service: name, limits: limits}
 	}
+	former := s.routes
 	s.routes = make(map[packet.Endpoint]*route, len(c.Routes))
 	for i := range c.Routes {
-		s.routes[c.Routes[i].Endpoint] = newRoute(&c.Routes[i], s.pools)
+		r := newRoute(&c.Routes[i], s.pools)
+		if old := former[c.Routes[i].Endpoint]; old != nil {
+			r.answerTime = old.answerTime
+		}
+		s.routes[c.Routes[i].Endpoint] = r
 	}
 }
 
--- a/internal/logging/queue.go
+++ b/internal/logging/queue.go
@@ -22,6 +22,8 @@
 	// received counts the lines passed to Write, written those that reached the
 	// underlying writer.
 	received, written atomic.Int64
+	// dropped is the last result of Dropped.
+	dropped atomic.Int64
 }
 
 // countingWriter counts the lines written. It hides the Close method of the
@@ -51,9 +53,18 @@
 	return q.writer.Write(line)
 }
 
-// Dropped returns a lower bound of the number of dropped lines. It assumes that
-// the queue is full, since the lines not yet written may still be queued.
-func (q *Queue) Dropped() int64 { return max(0, q.received.Load()-q.written.Load()-maxQueuedLines) }
+// Dropped returns a lower bound of the number of dropped lines, which never
+// decreases. It assumes that the queue is full, since the lines not yet written may
+// still be queued.
+func (q *Queue) Dropped() int64 {
+	bound := q.received.Load() - q.written.Load() - maxQueuedLines
+	for {
+		last := q.dropped.Load()
+		if bound <= last || q.dropped.CompareAndSwap(last, bound) {
+			return max(bound, last)
+		}
+	}
+}
 
 // Close writes the queued lines. It returns an error if that takes longer than
 // closeTimeout.
--- a/internal/logging/queue_test.go
+++ b/internal/logging/queue_test.go
@@ -50,3 +50,27 @@
 	is.NoErr(q.Close())
 	is.Equal(strings.Count(out.String(), "line\n"), 100)
 }
+
+// slowWriter takes its time for each line until it is released.
+type slowWriter struct{ release chan struct{} }
+
+func (w slowWriter) Write(b []byte) (int, error) {
+	<-w.release
+	return len(b), nil
+}
+
+// Guards against a counter that goes down once the queue drains.
+func TestDroppedLinesNeverDecrease(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	q := NewQueue(slowWriter{release})
+	for range 3 * maxQueuedLines {
+		_, err := io.WriteString(q, "line\n")
+		is.NoErr(err)
+	}
+	before := q.Dropped()
+	is.True(before > 0)
+	close(release)
+	is.NoErr(q.Close())
+	is.True(q.Dropped() >= before)
+}
--- /dev/null
+++ b/transport/follow/read.go
@@ -0,0 +1,92 @@
+package follow
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/jujubehaven/jujubehaven/coordination/store"
+	"github.com/jujubehaven/jujubehaven/protocol/gossip"
+)
+
+// read makes one call to the store, for all entries or for the changes since
+// the last call.
+func (f *Follower) read(ctx context.Context, reason Reason) error {
+	f.mu.Lock()
+	if f.relistDue() {
+		f.listed = false
+		reason = ReasonRestored
+	}
+	listed, after, wait := f.listed, f.pos, f.watchTime()
+	f.countCall(reason)
+	f.mu.Unlock()
+	if listed {
+		return f.readChanges(ctx, after, wait, reason)
+	}
+	return f.list(ctx, reason)
+}
+
+// readChanges reads the changes after a position, once there are any or wait has
+// passed, and sends them to the other hosts of the zone if this host is their
+// reader.
+func (f *Follower) readChanges(ctx context.Context, after store.Position, wait time.Duration, reason Reason) error {
+	start := f.cfg.Clock()
+	got, err := f.cfg.Feed.Changes(ctx, "", after.Index, wait)
+	if err != nil {
+		return err
+	}
+	feed, err := f.applyChanges(after, start, got)
+	if err != nil {
+		return err
+	}
+	f.passOn(feed, reason)
+	return nil
+}
+
+// passOn sends changes to the other hosts of the zone if this host reads the
+// store for them, or does so now because no feed arrived.
+func (f *Follower) passOn(feed *gossip.Feed, reason Reason) {
+	if feed == nil || f.cfg.Peers == nil {
+		return
+	}
+	if reason == ReasonNoFeed || f.cfg.Peers.ReadsStore() {
+		f.cfg.Peers.SendFeed(feed)
+	}
+}
+
+// recordSuccess records a successful call.
+func (f *Follower) recordSuccess() {
+	now := f.cfg.Clock()
+	f.storeLost = false
+	if f.dir.StoreRegained(now) {
+		f.cfg.Log.Info().Str("event", "store_regained").Send()
+	}
+}
+
+// recordFailure records a failed call. If the store's history was lost, the next
+// read is a full list.
+func (f *Follower) recordFailure(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lastFailure, f.hasFailed = f.cfg.Clock(), true
+	kind := store.Unavailable
+	var e *store.Error
+	if errors.As(err, &e) {
+		kind = e.Kind
+	}
+	f.stats.Failures[kind]++
+	switch kind {
+	case store.HistoryLost:
+		f.listed = false
+		f.cfg.Log.Warn().Str("event", "store_history_lost").Err(err).Send()
+		return
+	case store.Outdated:
+		f.cfg.Log.Info().Str("event", "store_response_outdated").Err(err).Send()
+		return
+	}
+	f.storeLost = true
+	if f.dir.StoreLost() {
+		f.cfg.Log.Warn().Str("event", "store_lost").Err(err).Send()
+	}
+}
--- a/transport/follow/state.go
+++ b/transport/follow/state.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/jujubehaven/jujubehaven/coordination/store"
 	"github.com/jujubehaven/jujubehaven/protocol/gossip"
@@ -50,3 +51,36 @@
 	}
 	return sameConfig
 }
+
+// compareViews makes this host list all entries if its targets or its configuration
+// differ from the sender's at the same position. What a feed leaves out as a
+// heartbeat depends on what its sender knew; a wrong omission would end the flows of
+// a living target.
+func (f *Follower) compareViews(feed *gossip.Feed, to store.Position) {
+	sameTargets := feed.Checksum == 0 || feed.Checksum == f.dir.Checksum()
+	if to != f.pos {
+		return
+	}
+	f.targetsDiffer = !sameTargets
+	sameConfig := f.adoptOperator(feed.Operator)
+	if sameTargets && sameConfig {
+		return
+	}
+	now := f.cfg.Clock()
+	if f.mismatchLimited(now) {
+		return
+	}
+	f.lastMismatch, f.hasMismatch = now, true
+	f.cfg.Log.Warn().Str("event", "view_mismatch").Uint64("revision", uint64(f.pos.Index)).
+		Bool("targets", !sameTargets).Bool("config", !sameConfig).Send()
+	f.listed = false
+	f.missedFeed = ReasonMismatch
+}
+
+// mismatchLimited reports whether a list because of a mismatch would follow the
+// last one too soon. One in the grace after a restore does not count once the grace
+// is over, as it could not settle the mismatch.
+func (f *Follower) mismatchLimited(now time.Duration) bool {
+	recent := f.hasMismatch && now < f.lastMismatch+minMismatchInterval
+	return recent && (now < f.heldUntil || f.lastMismatch >= f.heldUntil)
+}
