--- a/coordination/steering/deadflows.go
+++ b/coordination/steering/deadflows.go
@@ -37,10 +37,11 @@
 	}
 }
 
-// resetDeadFlows resets the flows that wait for the answers of dead targets.
+// resetDeadFlows resets the flows that wait for the answers of dead targets. A flow
+// that its caller has closed is left alone, as the caller may use the port again.
 func (s *Steering) resetDeadFlows(now time.Duration, reset func(*Segment, *Action)) {
 	for key, f := range s.flows {
-		if f.target == nil || !f.awaiting {
+		if f.target == nil || !f.awaiting || f.closed {
 			continue
 		}
 		r := s.routes[key.Service]
--- a/coordination/steering/deadflows_test.go
+++ b/coordination/steering/deadflows_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"github.com/jujubehaven/jujubehaven/coordination/fleet"
+	"github.com/jujubehaven/jujubehaven/protocol/packet"
 	"github.com/jujubehaven/jujubehaven/protocol/verdict"
 )
 
@@ -141,3 +142,19 @@
 	w.now += answerReportWindow
 	is.True(!report(key).Answered)
 }
+
+// Guards against a reset that reaches a later flow: a caller that has closed its
+// flow may use the port again, through another host too.
+func TestClosedFlowIsNotReset(t *testing.T) {
+	is := is.New(t)
+	w := newFixture(t)
+	c, key := waitingFlow(w, true)
+	c.p.Class, c.p.Payload = packet.Closing, nil
+	c.send()
+	peersReport(w, key, 2)
+	w.now += sweepInterval
+	othersAnswer(w, key)
+	w.Tick(w.now, w.recordReset)
+	is.True(w.targets[key].health.silent)
+	is.Equal(len(w.resets), 0)
+}
