Let an expected rewrite not end an outage of the store

Cause, found by reading the diff: a feed that comes after a gap began the time in which entries may be written again, and with it declared the outage over; targets missing since would have counted as gone 2.5 s later while the store was still away. TestExpectedRewritesDoNotEndAnOutage failed before.

--- a/coordination/fleet/directory.go
+++ b/coordination/fleet/directory.go
@@ -102,9 +102,9 @@
 
 // ExpectRewrites begins recoveryGrace as if the store had just become reachable
 // again: an entry that the store lacks may be written again soon, so its target is
-// missing rather than gone.
+// missing rather than gone. An outage that lasts goes on.
 func (d *Directory) ExpectRewrites(now time.Duration) {
-	d.storeLost, d.storeWasLost = false, true
+	d.storeWasLost = true
 	d.storeRegainedAt = now
 }
 
--- a/coordination/fleet/directory_test.go
+++ b/coordination/fleet/directory_test.go
@@ -222,3 +222,17 @@
 	is.Equal(d.PutTarget(11*time.Second, target("t1", 2)), ChangeReturned)
 	is.Equal(d.Sweep(12500*time.Millisecond), []TargetKey{"t2"})
 }
+
+// Guards against targets that count as gone during an outage because changes came
+// late through another host.
+func TestExpectedRewritesDoNotEndAnOutage(t *testing.T) {
+	is := is.New(t)
+	d := newReadyDirectory()
+	d.StoreLost()
+	d.ExpectRewrites(time.Second)
+	d.RemoveTarget(time.Second, "t1")
+	is.Equal(len(d.Sweep(time.Hour)), 0)
+	is.True(entry(d, "t1").Missing)
+	is.True(d.StoreRegained(2 * time.Hour))
+	is.Equal(d.Sweep(3*time.Hour), []TargetKey{"t1"})
+}
