Forget a route's answer times when another service serves it

Read in the diff: a route that moves to a faster service kept the former service's median, so that all targets of the new one looked as if they failed.

--- a/coordination/steering/fastanswers_test.go
+++ b/coordination/steering/fastanswers_test.go
@@ -129,4 +129,8 @@
 	w.view.Config.Version++
 	w.apply()
 	is.True(w.routes[orders].answerTime.addSample(time.Millisecond)) // far below the median
+	w.view.Config.Version++
+	w.view.Config.Routes[1].Shares = []fleet.Share{{Service: "maps", Weight: 1}}
+	w.apply()
+	is.True(!w.routes[orders].answerTime.addSample(time.Millisecond)) // another service
 }
--- a/coordination/steering/view.go
+++ b/coordination/steering/view.go
@@ -1,6 +1,7 @@
 package steering
 
 import (
+	"slices"
 	"time"
 
 	"github.com/jujubehaven/jujubehaven/coordination/fleet"
@@ -38,7 +39,7 @@
 }
 
 // setConfig rebuilds the pools and routes from a configuration. What was learned of
-// a route's answer times is kept.
+// a route's answer times is kept while the same services serve it.
 func (s *Steering) setConfig(c *fleet.Config) {
 	s.pools = make(map[string]*pool, len(c.Services))
 	for name, limits := range c.Services {
@@ -48,13 +49,18 @@
 	s.routes = make(map[packet.Endpoint]*route, len(c.Routes))
 	for i := range c.Routes {
 		r := newRoute(&c.Routes[i], s.pools)
-		if old := former[c.Routes[i].Endpoint]; old != nil {
+		if old := former[c.Routes[i].Endpoint]; old != nil && old.sameServices(r) {
 			r.answerTime = old.answerTime
 		}
 		s.routes[c.Routes[i].Endpoint] = r
 	}
 }
 
+// sameServices reports whether two routes lead to the same services.
+func (r *route) sameServices(other *route) bool {
+	return slices.EqualFunc(r.shares, other.shares, func(a, b share) bool { return a.pool.service == b.pool.service })
+}
+
 func newRoute(r *fleet.Route, pools map[string]*pool) *route {
 	rt := &route{idempotent: r.Idempotent}
 	for _, sh := range r.Shares {
