--- a/coordination/steering/cold_test.go
+++ b/coordination/steering/cold_test.go
@@ -60,3 +60,21 @@
 		})
 	}
 }
+
+// Guards against openings that are refused although a warm target could serve them:
+// a target that left one opening unanswered and then got no more for ten seconds
+// counts as cold when it answers again, although the store would have told of a
+// restart long ago.
+func TestOldSilenceDoesNotMakeATargetCold(t *testing.T) {
+	is := is.New(t)
+	w := newFixture(t)
+	w.view.Config.Services["book"] = fleet.ServiceLimits{ColdOpenings: 4.5, WarmUp: 2 * time.Second}
+	w.apply()
+	silent := w.targets["b1"]
+	silent.health.recordOpeningRetransmission(w.now, w.now-200*time.Millisecond)
+	is.True(silent.health.silent)
+	w.now += 10 * time.Second
+	w.complete, w.completeKnown = w.now-time.Second, true // what the store held a second ago is known
+	w.recordProgress(w.now, silent)
+	is.True(!silent.cold(w.now))
+}
