Say more plainly how much evidence a lost zone's targets need

A comment only, read as a newcomer: the sentence about the evidence that suffices in a lost zone did not say that some is always needed. No code changed.

--- a/coordination/steering/deadflows.go
+++ b/coordination/steering/deadflows.go
@@ -15,7 +15,7 @@
 // the flows of requests that follow at once. In a large zone each host sees few
 // flows of a target; the evidence is therefore summed over the hosts of the zone.
 // Flows of a zone that was lost with its hosts reach hosts that have seen little
-// of them; less evidence about a target suffices then. Some does, as a few targets
+// of them. Less evidence about a target suffices there, but not none: a few targets
 // of a lost zone may still serve.
 
 // givesUp reports whether a flow of the route that waits for an answer of the
