--- a/coordination/steering/cold.go
+++ b/coordination/steering/cold.go
@@ -19,6 +19,9 @@
 	// entryWriteDelay is the longest time from a target's first answer to the
 	// write of its entry.
 	entryWriteDelay = 200 * time.Millisecond
+	// entryExpiry is the longest time that the entry of a dead target stays in the
+	// store: three of its heartbeats, and the time to read that it is gone.
+	entryExpiry = 5 * time.Second
 )
 
 // coldRateShare returns the openings per second that this host may send to a
@@ -50,8 +53,16 @@
 }
 
 // presumeCold marks a target that answers again as cold for the warm-up time,
-// since it may have restarted.
+// since it may have restarted. If the store had its entry long after the target
+// left a flow unanswered, the target was alive then and the silence has another
+// cause.
 func (s *Steering) presumeCold(now time.Duration, t *target) {
+	if s.cfg.CompleteTo != nil && !t.entry.Missing {
+		complete, ok := s.cfg.CompleteTo()
+		if ok && complete >= t.health.lastUnanswered+entryExpiry {
+			return
+		}
+	}
 	t.presumedColdAt = now
 	t.presumedColdUntil = now + s.view.Config.Services[t.entry.Service].WarmUp
 }
--- a/coordination/steering/fastanswers_test.go
+++ b/coordination/steering/fastanswers_test.go
@@ -41,6 +41,7 @@
 					c.send()
 					if !detect {
 						r.targets[a.Key].fastAnswers = fastAnswerShare{}
+						r.judgePools(r.now)
 					}
 				})
 			})
@@ -100,11 +101,11 @@
 		estimate.addSample(50 * time.Millisecond)
 	}
 	is.True(estimate.median > 40*time.Millisecond && estimate.median < 60*time.Millisecond)
-	is.True(estimate.addSample(7 * time.Millisecond))
-	is.True(!estimate.addSample(25 * time.Millisecond))
+	is.True(estimate.tooFast(7 * time.Millisecond))
+	is.True(!estimate.tooFast(25 * time.Millisecond))
 	var fresh medianEstimate
-	is.True(!fresh.addSample(time.Second))
-	is.True(!fresh.addSample(time.Millisecond)) // too few samples
+	fresh.addSample(time.Second)
+	is.True(!fresh.tooFast(time.Millisecond)) // too few samples
 }
 
 // A share of too fast answers that another host of the zone reports counts at
@@ -128,9 +129,9 @@
 	}
 	w.view.Config.Version++
 	w.apply()
-	is.True(w.routes[orders].answerTime.addSample(time.Millisecond)) // far below the median
+	is.True(w.routes[orders].answerTime.tooFast(time.Millisecond)) // far below the median
 	w.view.Config.Version++
 	w.view.Config.Routes[1].Shares = []fleet.Share{{Service: "maps", Weight: 1}}
 	w.apply()
-	is.True(!w.routes[orders].answerTime.addSample(time.Millisecond)) // another service
+	is.True(!w.routes[orders].answerTime.tooFast(time.Millisecond)) // another service
 }
--- a/coordination/steering/flows.go
+++ b/coordination/steering/flows.go
@@ -46,6 +46,9 @@
 	baseSeq uint32
 	ack     uint32
 	busy    bool
+	// foundFreeSlot is set if the target had a free slot when the flow's last
+	// request was sent.
+	foundFreeSlot bool
 	// awaiting is set while data that this host forwarded is unanswered.
 	awaiting bool
 	// open is set once the caller has completed the handshake.
--- a/coordination/steering/loads.go
+++ b/coordination/steering/loads.go
@@ -55,6 +55,7 @@
 		t.peersOpen, t.peersBusy, t.peersUnanswered = load.Open, load.Busy, load.Unanswered
 		t.peersFast = load.FastShare
 	}
+	s.judgePools(s.lastSweep) // shares change slowly
 }
 
 // TargetStats is this host's data about a target, for metrics and for other
--- a/coordination/steering/observe.go
+++ b/coordination/steering/observe.go
@@ -45,7 +45,7 @@
 		f.ack = p.Ack
 		if f.busy {
 			a.AnswerTime = now - f.pendingSince
-			t.fastAnswers.addAnswer(now, r.answerTime.addSample(a.AnswerTime))
+			s.recordAnswerTime(now, r, f, a.AnswerTime)
 		}
 		if f.awaiting {
 			// Without data of this host's own the answer may be to a packet that
@@ -87,6 +87,7 @@
 		f.pendingSince = now
 		a.RequestStarts = true
 		s.setOpening(f, false)
+		f.foundFreeSlot = t.hasFreeSlot()
 	}
 	if end-f.baseSeq > maxInFlight {
 		f.baseSeq = end - maxInFlight/2
--- a/coordination/steering/steering.go
+++ b/coordination/steering/steering.go
@@ -31,6 +31,20 @@
 	CompleteTo func() (time.Duration, bool)
 	// Refresh starts a read of the store without waiting for it; it may be nil.
 	Refresh func()
+	// Balancing selects optional decisions.
+	Balancing Balancing
+}
+
+// Balancing selects decisions that hosts make together under high load.
+type Balancing struct {
+	// Allotments lets the hosts of a large zone share out the slots of targets.
+	Allotments bool
+	// CrossZone lets zones send new flows to other zones by their spare capacity.
+	CrossZone bool
+	// Admission admits new flows by the objectives and priorities of their routes.
+	Admission bool
+	// ExpectedWork places new flows by the expected time of service of requests.
+	ExpectedWork bool
 }
 
 // Event reports that a target became silent or answers again.
@@ -113,6 +127,7 @@
 	s.confirmSilences(now)
 	s.resetDeadFlows(now, reset)
 	s.endPresumedCold(now)
+	s.judgePools(now)
 	s.expireUnreachable(now)
 }
 
--- a/coordination/steering/target.go
+++ b/coordination/steering/target.go
@@ -33,6 +33,8 @@
 	peersFast   float64
 	health      health
 	fastAnswers fastAnswerShare
+	// avoided is set while the target is avoided for its too fast answers.
+	avoided bool
 	// presumedColdAt is when the target answered again after a silence. It may
 	// have restarted, so it counts as cold until presumedColdUntil, or until this
 	// host has read what the target wrote to the store since.
--- a/coordination/steering/view.go
+++ b/coordination/steering/view.go
@@ -27,6 +27,8 @@
 	service string
 	limits  fleet.ServiceLimits
 	targets []*target
+	// saturated is set while nearly all slots are in use.
+	saturated bool
 }
 
 // SetView replaces the host's view. Open flows keep their targets.
--- /dev/null
+++ b/coordination/steering/zonereplay_test.go
@@ -0,0 +1,344 @@
+package steering
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/jujubehaven/jujubehaven/coordination/fleet"
+	"github.com/jujubehaven/jujubehaven/protocol/packet"
+)
+
+const (
+	zoneSlots      = 2
+	zoneQueue      = 8
+	zoneWork       = 55 * time.Millisecond
+	zoneWorkSpread = 0.5 // sigma of the logarithm of the work
+	zoneObjective  = 400 * time.Millisecond
+	// callerRoundTrip is the time from a packet to a caller until the caller's
+	// next packet reaches its host.
+	callerRoundTrip = 6 * time.Millisecond
+	// reportInterval is the time between two exchanges of loads; a host knows the
+	// loads of the exchange before.
+	reportInterval = 200 * time.Millisecond
+)
+
+// zoneReplay simulates the hosts of one zone, their common targets and their
+// callers in virtual time. Each caller opens a flow for each request.
+type zoneReplay struct {
+	t     *testing.T
+	rng   *rand.Rand
+	now   time.Duration
+	queue eventQueue
+	hosts []*fixture
+	// dead is set for hosts that were killed; callers' flows go on without them.
+	dead    []bool
+	servers map[fleet.TargetKey]*zoneServer
+	// reports holds the loads of the last exchange, by host.
+	reports  []map[Token]TargetLoad
+	requests []*zoneRequest
+	rejected int
+	flows    int
+	// work returns the time of service of the next request.
+	work func() time.Duration
+	// route is the service address of the next request.
+	route func() packet.Endpoint
+}
+
+// zoneServer serves slots requests at once, queues zoneQueue more and rejects the
+// rest.
+type zoneServer struct {
+	slots, busy int
+	waiting     []func()
+	// failing is set if each request is answered at once with an error.
+	failing bool
+	// arrivals holds the times of the openings that reached the target.
+	arrivals []time.Duration
+}
+
+// zoneRequest is one request of a caller with its retries.
+type zoneRequest struct {
+	due      time.Duration
+	attempts int
+	// wait is the time in the target's queue and done the time when the answer was
+	// acknowledged, 0 if the request failed.
+	wait, done time.Duration
+	errorSeen  bool
+}
+
+func newZoneReplay(t *testing.T, seed uint64, hosts, targets int) *zoneReplay {
+	z := &zoneReplay{t: t, rng: rand.New(rand.NewPCG(seed, 2)), servers: map[fleet.TargetKey]*zoneServer{}, dead: make([]bool, hosts)}
+	z.work = func() time.Duration { return z.logNormal(zoneWork, zoneWorkSpread) }
+	z.route = func() packet.Endpoint { return feeds }
+	for range hosts {
+		w := newFixture(t)
+		w.view.Targets = nil
+		for n := range targets {
+			key := fmt.Sprintf("t%d", n)
+			w.add(key, "book", "a")
+			w.entry(fleet.TargetKey(key)).Slots = zoneSlots
+			z.servers[fleet.TargetKey(key)] = &zoneServer{slots: zoneSlots}
+		}
+		w.apply()
+		z.hosts = append(z.hosts, w)
+	}
+	z.at(0, z.exchange)
+	return z
+}
+
+// logNormal returns a random time with a mean and the spread of its logarithm.
+func (z *zoneReplay) logNormal(mean time.Duration, spread float64) time.Duration {
+	return time.Duration(float64(mean) * math.Exp(spread*z.rng.NormFloat64()-spread*spread/2))
+}
+
+func (z *zoneReplay) at(at time.Duration, do func()) { heap.Push(&z.queue, event{at, do}) }
+
+// load lets requests arrive between two times at a share of all targets' slots.
+func (z *zoneReplay) load(from, to time.Duration, share func(time.Duration) float64) {
+	slots := 0
+	for _, s := range z.servers {
+		slots += s.slots
+	}
+	mean := float64(zoneWork) / float64(slots)
+	for at := from; at < to; at += time.Duration(z.rng.ExpFloat64() * mean / share(at)) {
+		z.at(at, func() { z.request(&zoneRequest{due: at}) })
+	}
+}
+
+// run handles all events up to a time.
+func (z *zoneReplay) run(until time.Duration) {
+	for len(z.queue) > 0 && z.queue[0].at <= until {
+		e := heap.Pop(&z.queue).(event)
+		z.now = e.at
+		e.do()
+	}
+}
+
+// exchange gives each host the loads that the others had at the last exchange.
+func (z *zoneReplay) exchange() {
+	sum := map[Token]TargetLoad{}
+	for _, report := range z.reports {
+		addTo(sum, report, 1)
+	}
+	live := 0
+	for i := range z.hosts {
+		if !z.dead[i] {
+			live++
+		}
+	}
+	for i, w := range z.hosts {
+		if z.dead[i] {
+			continue
+		}
+		w.now = z.now
+		w.Tick(z.now, w.recordReset)
+		others := map[Token]TargetLoad{}
+		addTo(others, sum, 1)
+		if z.reports != nil {
+			addTo(others, z.reports[i], -1)
+		}
+		w.SetPeerLoads(&PeerLoads{Hosts: live, Settled: true, Targets: others})
+	}
+	z.reports = make([]map[Token]TargetLoad, len(z.hosts))
+	for i, w := range z.hosts {
+		z.reports[i] = map[Token]TargetLoad{}
+		if z.dead[i] {
+			continue
+		}
+		for _, s := range w.TargetStats(z.now) {
+			z.reports[i][s.Token] = s.TargetLoad
+		}
+	}
+	z.at(z.now+reportInterval, z.exchange)
+}
+
+func addTo(sum, loads map[Token]TargetLoad, sign int) {
+	for token, l := range loads {
+		total := sum[token]
+		total.Open += sign * l.Open
+		total.Busy += sign * l.Busy
+		total.FastShare = max(total.FastShare, l.FastShare)
+		sum[token] = total
+	}
+}
+
+// request starts an attempt at a random live host.
+func (z *zoneReplay) request(r *zoneRequest) {
+	if r.attempts == 0 {
+		z.requests = append(z.requests, r)
+	}
+	r.attempts++
+	host := z.rng.IntN(len(z.hosts))
+	for z.dead[host] {
+		host = z.rng.IntN(len(z.hosts))
+	}
+	z.flows++
+	c := z.hosts[host].caller(z.flows, z.route())
+	c.p.Flow.CallerPort = uint16(1 + z.flows>>16)
+	z.open(r, c, host, z.now, 0)
+}
+
+// open sends an opening, the given copy of an attempt that started at a time.
+func (z *zoneReplay) open(r *zoneRequest, c *caller, host int, started time.Duration, copies uint32) {
+	if z.dead[host] {
+		z.retry(r)
+		return
+	}
+	c.w.now = z.now
+	switch a := c.open(copies); a.Kind {
+	case Forward:
+		s := z.servers[a.Key]
+		s.arrivals = append(s.arrivals, z.now)
+		z.at(z.now+callerRoundTrip, func() { z.send(r, c, host, s) })
+	case Reset:
+		z.retry(r)
+	case Drop:
+		switch copies {
+		case 0:
+			z.at(started+200*time.Millisecond, func() { z.open(r, c, host, started, 1) })
+		case 1:
+			z.at(started+600*time.Millisecond, func() { z.open(r, c, host, started, 2) })
+		default:
+			z.at(started+attemptTimeout, func() { z.retry(r) })
+		}
+	}
+}
+
+func (z *zoneReplay) retry(r *zoneRequest) {
+	if r.attempts <= callerRetries {
+		z.at(z.now+10*time.Millisecond, func() { z.request(r) })
+	}
+}
+
+// send sends the request's data to the target.
+func (z *zoneReplay) send(r *zoneRequest, c *caller, host int, s *zoneServer) {
+	if !z.dead[host] {
+		c.w.now = z.now
+		c.confirm()
+		c.sendRequest()
+	}
+	sent := z.now
+	work := func() {
+		wait := z.now - sent
+		z.at(z.now+z.work(), func() {
+			s.busy--
+			if len(s.waiting) > 0 {
+				next := s.waiting[0]
+				s.waiting = s.waiting[1:]
+				s.busy++
+				next()
+			}
+			r.wait = wait
+			z.answer(c, host, func() { r.done = z.now })
+		})
+	}
+	switch {
+	case s.failing:
+		r.errorSeen = true
+		z.answer(c, host, func() {})
+	case s.busy < s.slots:
+		s.busy++
+		work()
+	case len(s.waiting) < zoneQueue:
+		s.waiting = append(s.waiting, work)
+	default:
+		z.rejected++
+		z.answer(c, host, func() { z.retry(r) })
+	}
+}
+
+// answer lets the caller acknowledge an answer and close the flow.
+func (z *zoneReplay) answer(c *caller, host int, then func()) {
+	z.at(z.now+callerRoundTrip, func() {
+		if !z.dead[host] {
+			c.w.now = z.now
+			c.acknowledge()
+			c.p.Class = packet.Closing
+			c.send()
+		}
+		then()
+	})
+}
+
+// between returns the requests that were due between two times.
+func (z *zoneReplay) between(from, to time.Duration) []*zoneRequest {
+	var list []*zoneRequest
+	for _, r := range z.requests {
+		if r.due >= from && r.due < to {
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
+// inTime returns the share of requests that were answered within the objective.
+func inTime(list []*zoneRequest) float64 {
+	n := 0
+	for _, r := range list {
+		if r.done > 0 && r.done-r.due <= zoneObjective {
+			n++
+		}
+	}
+	return float64(n) / float64(max(len(list), 1))
+}
+
+// percentile returns a percentile of the time from the first attempt to the answer.
+func percentile(list []*zoneRequest, p float64) time.Duration {
+	var times []time.Duration
+	for _, r := range list {
+		if r.done > 0 {
+			times = append(times, r.done-r.due)
+		}
+	}
+	if len(times) == 0 {
+		return 0
+	}
+	slices.Sort(times)
+	return times[min(int(p*float64(len(times))), len(times)-1)]
+}
+
+// inUse returns how many targets got an opening between two times.
+func (z *zoneReplay) inUse(from, to time.Duration) int {
+	n := 0
+	for _, s := range z.servers {
+		if slices.ContainsFunc(s.arrivals, func(at time.Duration) bool { return at >= from && at < to }) {
+			n++
+		}
+	}
+	return n
+}
+
+func constant(share float64) func(time.Duration) float64 {
+	return func(time.Duration) float64 { return share }
+}
+
+// Guards against an overload that keeps itself alive: while requests waited in the
+// targets' queues, targets that were idle answered far faster than usual, were
+// avoided as failing for ten seconds, and the rest was overloaded.
+func TestOverloadEndsWithItsCause(t *testing.T) {
+	is := is.New(t)
+	const (
+		overload = 8 * time.Second
+		ends     = overload + 3*time.Second
+	)
+	for seed := range uint64(3) {
+		z := newZoneReplay(t, seed, 20, 40)
+		z.load(time.Second, overload, constant(0.55))
+		z.load(overload, ends, constant(1.6))
+		z.load(ends, ends+6*time.Second, constant(0.55))
+		z.run(ends + 8*time.Second)
+		before, after := z.between(4*time.Second, overload), z.between(ends+2*time.Second, ends+6*time.Second)
+		t.Logf("seed %d: in use %d, then %d targets; p50 %v, then %v; in time %.3f, then %.3f; rejected %d", seed,
+			z.inUse(6*time.Second, overload), z.inUse(ends+2*time.Second, ends+4*time.Second),
+			percentile(before, 0.5), percentile(after, 0.5), inTime(before), inTime(after), z.rejected)
+		is.Equal(z.inUse(ends+2*time.Second, ends+4*time.Second), 40)
+		is.True(percentile(after, 0.5) <= percentile(before, 0.5)*11/10)
+		is.True(inTime(after) >= 0.99)
+	}
+}
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"slices"
 	"strings"
 
 	"github.com/jujubehaven/jujubehaven/transport/tunnel"
@@ -39,7 +40,23 @@
 
 // Keys returns all settings in the order of the operators' documentation.
 func Keys() []Key {
-	return append(identityKeys(), limitKeys()...)
+	return slices.Concat(identityKeys(), limitKeys(), balancingKeys())
+}
+
+func balancingKeys() []Key {
+	return []Key{
+		balancingKey("allotments", "true shares out the slots of targets among the hosts of a large zone", func(b *Balancing) *bool { return &b.Allotments }),
+		balancingKey("cross_zone", "true sends new flows to other zones by their spare capacity", func(b *Balancing) *bool { return &b.CrossZone }),
+		balancingKey("admission", "true admits new flows by the objectives and priorities of their routes", func(b *Balancing) *bool { return &b.Admission }),
+		balancingKey("expected_work", "true places new flows by the expected time of service of requests", func(b *Balancing) *bool { return &b.ExpectedWork }),
+	}
+}
+
+func balancingKey(name, usage string, field func(*Balancing) *bool) Key {
+	return Key{
+		Name: "balancing." + name, Default: "false", Usage: usage,
+		set: single(func(s *Settings, v string) error { return setBool(field(&s.Balancing), v) }),
+	}
 }
 
 func identityKeys() []Key {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -54,9 +54,23 @@
 	// MTU is the largest outer IP packet in bytes that the network carries.
 	MTU int
 	// LinkMbps is the bandwidth of the host's network link in Mbit/s, 0 if unknown.
-	LinkMbps int
-	LogLevel zerolog.Level
-	Limits   Limits
+	LinkMbps  int
+	LogLevel  zerolog.Level
+	Limits    Limits
+	Balancing Balancing
+}
+
+// Balancing switches on what hosts that steer by token decide together under high
+// load.
+type Balancing struct {
+	// Allotments lets the hosts of a large zone share out the slots of targets.
+	Allotments bool
+	// CrossZone lets zones send new flows to other zones by their spare capacity.
+	CrossZone bool
+	// Admission admits new flows by the objectives and priorities of their routes.
+	Admission bool
+	// ExpectedWork places new flows by the expected time of service of requests.
+	ExpectedWork bool
 }
 
 // Fabric is the network that distributes packets across the hosts.
--- a/internal/tokenhost/host.go
+++ b/internal/tokenhost/host.go
@@ -81,7 +81,10 @@
 	var err error
 	h.packets, err = direct.New(direct.Config{
 		Listen: s.Data[0], Codec: deps.Codec, Observer: h.decisions, Clock: h.clock,
-		Steering: steering.New(steering.Config{Zone: s.Zone, Events: h.decisions.logTargetEvent, ZoneEvents: h.decisions.logZoneEvent, CompleteTo: h.completeTo, Refresh: h.refresh}),
+		Steering: steering.New(steering.Config{
+			Zone: s.Zone, Events: h.decisions.logTargetEvent, ZoneEvents: h.decisions.logZoneEvent,
+			CompleteTo: h.completeTo, Refresh: h.refresh, Balancing: steering.Balancing(s.Balancing),
+		}),
 	})
 	if err != nil {
 		return nil, err
