Compare answers with the route's fastest ones, and bound avoidance by zone

Change: the measure is the fastest twentieth of the times of service (the round trip taken off, known from handshakes); an answer is too fast below 0.3 of it; at most a fifth of a pool's targets in each zone is avoided; the penalty is the expected number of failed attempts for each success.

--- a/coordination/steering/fastanswers.go
+++ b/coordination/steering/fastanswers.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -12,22 +13,26 @@
 // responses, but it sees when callers acknowledge them: a target that answers
 // much faster than is usual on the route does not do the work.
 //
-// The evidence must not grow with the load. The usual answer time therefore
-// counts only requests that found a free slot, as the wait in the targets' queues
-// would make answers of idle targets look too fast. Targets with full queues
-// reject requests at once, so only requests that found a free slot are evidence
-// against a target, and none while the pool is saturated. Only some of a pool's
-// targets are avoided at once.
+// The evidence must not grow with the load. Answers are therefore compared with
+// the fastest answers of the route, which waits for no slot even while
+// most requests wait; only requests that found a free slot count, as targets with
+// full queues reject at once, and none while the pool is saturated. Only some of a
+// pool's targets are avoided at once.
 
 const (
-	// fastAnswerRatio is the fraction of the route's median answer time below
-	// which an answer counts as too fast.
-	fastAnswerRatio = 0.35
-	// medianStep is how far one answer moves a route's median estimate, as a
-	// fraction of it. minMedianSamples is the number of answers before the
+	// usualQuantile is the quantile of a route's times of service that answers are
+	// compared with, and fastAnswerRatio the fraction of it below which an answer
+	// counts as too fast.
+	usualQuantile   = 0.05
+	fastAnswerRatio = 0.3
+	// quantileStep is how far an answer moves an estimated quantile at most, as a
+	// fraction of it. minQuantileSamples is the number of answers before the
 	// estimate is used.
-	medianStep       = 0.05
-	minMedianSamples = 30
+	quantileStep       = 0.05
+	minQuantileSamples = 30
+	// outlierWeight is the weight of a too fast answer in the estimate: failing
+	// targets must not become the usual case at once.
+	outlierWeight = 0.3
 	// fastAnswerWeight is the weight of one answer in a target's share of too
 	// fast answers. fastShareHalfLife is how soon the share halves without
 	// answers, so that a target that is avoided is tried again. It is long
@@ -37,43 +42,78 @@
 	// fastShareThreshold is the largest share that a healthy target may have: a
 	// single too fast answer happens by chance, two in a row don't.
 	fastShareThreshold = 0.5
-	// fastAnswerLoad is the load, in multiples of its slots, that is added to a
-	// target whose answers all come too fast.
-	fastAnswerLoad = 20.0
-	// maxAvoidedShare is the largest share of a pool's targets that are avoided at
-	// once for too fast answers. The others could not take the load of more.
+	// maxFastAnswerLoad bounds the load, in multiples of its slots, that is added to
+	// a target whose answers come too fast.
+	maxFastAnswerLoad = 20.0
+	// maxAvoidedShare is the largest share of a pool's targets in one zone that are
+	// avoided at once for too fast answers. The others could not take the load of
+	// more.
 	maxAvoidedShare = 0.2
 	// saturation is the share of a pool's slots in use from which it is saturated:
 	// some targets have full queues then, and loads of before do not show which.
 	saturation = 0.9
 )
 
-// medianEstimate estimates the median answer time of a route: each answer moves
-// it up or down by one step.
-type medianEstimate struct {
-	median  time.Duration
-	samples int
+// quantileEstimate estimates a quantile of times. It begins with the quantile of
+// the first samples; each further one moves it up or down, so that it rests where
+// the samples below it have the quantile's share.
+type quantileEstimate struct {
+	value time.Duration
+	// first holds the samples until there are minQuantileSamples.
+	first []time.Duration
+	known bool
 }
 
-// addSample adds the answer time of a request that found a free slot.
-func (m *medianEstimate) addSample(took time.Duration) {
-	m.samples++
-	if m.samples == 1 {
-		m.median = took
+// addSample adds a sample with a weight from 0 to 1.
+func (e *quantileEstimate) addSample(took time.Duration, quantile, weight float64) {
+	if !e.known {
+		e.addFirst(took, quantile)
 		return
 	}
-	step := time.Duration(medianStep * float64(m.median))
+	step := quantileStep * weight * float64(e.value)
 	switch {
-	case took > m.median:
-		m.median += step
-	case took < m.median:
-		m.median -= step
+	case took > e.value:
+		e.value += time.Duration(step * quantile)
+	case took < e.value:
+		e.value -= time.Duration(step * (1 - quantile))
 	}
 }
 
-// tooFast reports whether an answer time is far below the median.
-func (m *medianEstimate) tooFast(took time.Duration) bool {
-	return m.samples > minMedianSamples && float64(took) < fastAnswerRatio*float64(m.median)
+// addFirst adds one of the first samples.
+func (e *quantileEstimate) addFirst(took time.Duration, quantile float64) {
+	e.first = append(e.first, took)
+	if len(e.first) < minQuantileSamples {
+		return
+	}
+	slices.Sort(e.first)
+	e.value = e.first[int(math.Ceil(quantile*minQuantileSamples))]
+	e.first, e.known = nil, true
+}
+
+// answerTimes is what a host has learned of a route's answers.
+type answerTimes struct {
+	// roundTrip is the median time of a handshake, service the usualQuantile of the
+	// times from a request to its answer without the round trip.
+	roundTrip, service quantileEstimate
+}
+
+// addHandshake adds the time of a handshake.
+func (a *answerTimes) addHandshake(took time.Duration) { a.roundTrip.addSample(took, 0.5, 1) }
+
+// addAnswer adds the answer time of a request that found a free slot. It reports
+// whether the answer came too fast.
+func (a *answerTimes) addAnswer(took time.Duration) (tooFast bool) {
+	if !a.roundTrip.known {
+		return false
+	}
+	served := max(took-a.roundTrip.value, 0)
+	tooFast = a.service.known && float64(served) < fastAnswerRatio*float64(a.service.value)
+	weight := 1.0
+	if tooFast {
+		weight = outlierWeight
+	}
+	a.service.addSample(served, usualQuantile, weight)
+	return tooFast
 }
 
 // fastAnswerShare is the share of a target's answers that came too fast, as an
@@ -108,9 +148,8 @@
 	if !f.foundFreeSlot || p == nil || p.saturated {
 		return
 	}
-	tooFast := r.answerTime.tooFast(took)
+	tooFast := r.answerTimes.addAnswer(took)
 	f.target.fastAnswers.addAnswer(now, tooFast)
-	r.answerTime.addSample(took)
 	if tooFast || f.target.avoided {
 		p.selectAvoided(now)
 	}
@@ -127,19 +166,24 @@
 }
 
 // selectAvoided selects the targets of the pool that are avoided for their too fast
-// answers: those with the largest shares.
+// answers: in each zone those with the largest shares.
 func (p *pool) selectAvoided(now time.Duration) {
 	var failing []*target
+	inZone := map[*zonePath]int{}
 	for _, t := range p.targets {
 		t.avoided = false
+		inZone[t.path]++
 		if t.fastShare(now) > fastShareThreshold {
 			failing = append(failing, t)
 		}
 	}
 	slices.SortStableFunc(failing, func(a, b *target) int { return cmp.Compare(b.fastShare(now), a.fastShare(now)) })
-	limit := max(int(maxAvoidedShare*float64(len(p.targets))), 1)
-	for _, t := range failing[:min(len(failing), limit)] {
-		t.avoided = true
+	avoided := map[*zonePath]int{}
+	for _, t := range failing {
+		if avoided[t.path] < max(int(maxAvoidedShare*float64(inZone[t.path])), 1) {
+			avoided[t.path]++
+			t.avoided = true
+		}
 	}
 }
 
@@ -164,10 +208,13 @@
 }
 
 // fastAnswerPenalty returns the load that is added to a target that is avoided for
-// its too fast answers.
+// its too fast answers: the expected number of failed attempts for each success. A
+// target that fails only some requests is used before requests queue for long at
+// the others.
 func (t *target) fastAnswerPenalty(now time.Duration) float64 {
 	if !t.avoided {
 		return 0
 	}
-	return fastAnswerLoad * t.fastShare(now)
+	share := t.fastShare(now)
+	return min(share/max(1-share, 1/maxFastAnswerLoad), maxFastAnswerLoad)
 }
--- a/coordination/steering/fastanswers_test.go
+++ b/coordination/steering/fastanswers_test.go
@@ -1,6 +1,9 @@
 package steering
 
 import (
+	"fmt"
+	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -92,20 +95,54 @@
 	is.True(share.shareAt(0) < 0.71)
 }
 
-func TestMedianEstimateConverges(t *testing.T) {
+// The estimate of a route's fastest answers converges, tells failing targets from
+// healthy ones and needs some answers first.
+func TestAnswerTimesConverge(t *testing.T) {
 	is := is.New(t)
-	var estimate medianEstimate
-	for range 500 {
-		estimate.addSample(40 * time.Millisecond)
-		estimate.addSample(60 * time.Millisecond)
-		estimate.addSample(50 * time.Millisecond)
-	}
-	is.True(estimate.median > 40*time.Millisecond && estimate.median < 60*time.Millisecond)
-	is.True(estimate.tooFast(7 * time.Millisecond))
-	is.True(!estimate.tooFast(25 * time.Millisecond))
-	var fresh medianEstimate
-	fresh.addSample(time.Second)
-	is.True(!fresh.tooFast(time.Millisecond)) // too few samples
+	const roundTrip = 6 * time.Millisecond
+	var known, fresh answerTimes
+	for range 2 * minQuantileSamples {
+		known.addHandshake(roundTrip)
+		fresh.addHandshake(roundTrip)
+	}
+	rng := rand.New(rand.NewPCG(1, 1))
+	for range 1000 {
+		known.addAnswer(roundTrip + 40*time.Millisecond + time.Duration(rng.Int64N(int64(20*time.Millisecond))))
+	}
+	is.True(known.service.value > 39*time.Millisecond && known.service.value < 43*time.Millisecond)
+	is.True(known.addAnswer(roundTrip + time.Millisecond))
+	is.True(!known.addAnswer(roundTrip + 25*time.Millisecond))
+	for range minQuantileSamples - 1 {
+		is.True(!fresh.addAnswer(time.Second))
+	}
+	is.True(!fresh.addAnswer(time.Millisecond)) // too few samples
+	var noHandshake answerTimes
+	for range 2 * minQuantileSamples {
+		is.True(!noHandshake.addAnswer(time.Second)) // the round trip is not known
+	}
+}
+
+// Guards against healthy targets that count as failing because most requests wait
+// in queues: the fastest answers of the route stay the measure.
+func TestWaitingDoesNotMakeAnswersTooFast(t *testing.T) {
+	is := is.New(t)
+	rng := rand.New(rand.NewPCG(1, 1))
+	var a answerTimes
+	for range 2 * minQuantileSamples {
+		a.addHandshake(6 * time.Millisecond)
+	}
+	tooFast := 0
+	const answers = 20000
+	for range answers {
+		took := 6*time.Millisecond + time.Duration(55e6*math.Exp(0.5*rng.NormFloat64()-0.125))
+		if rng.Float64() < 0.7 {
+			took += 150 * time.Millisecond // waits for a slot
+		}
+		if a.addAnswer(took) {
+			tooFast++
+		}
+	}
+	is.True(float64(tooFast) < 0.02*answers)
 }
 
 // A share of too fast answers that another host of the zone reports counts at
@@ -124,14 +161,40 @@
 func TestAnswerTimesSurviveAChangeOfConfiguration(t *testing.T) {
 	is := is.New(t)
 	w := newFixture(t)
-	for range 2 * minMedianSamples {
-		w.routes[orders].answerTime.addSample(40 * time.Millisecond)
+	const roundTrip = 6 * time.Millisecond
+	for range 2 * minQuantileSamples {
+		w.routes[orders].answerTimes.addHandshake(roundTrip)
+	}
+	for range 2 * minQuantileSamples {
+		w.routes[orders].answerTimes.addAnswer(roundTrip + 40*time.Millisecond)
 	}
 	w.view.Config.Version++
 	w.apply()
-	is.True(w.routes[orders].answerTime.tooFast(time.Millisecond)) // far below the median
+	is.True(w.routes[orders].answerTimes.addAnswer(roundTrip)) // far below the usual time
 	w.view.Config.Version++
 	w.view.Config.Routes[1].Shares = []fleet.Share{{Service: "maps", Weight: 1}}
 	w.apply()
-	is.True(!w.routes[orders].answerTime.tooFast(time.Millisecond)) // another service
+	is.True(!w.routes[orders].answerTimes.addAnswer(roundTrip)) // another service
+}
+
+// Guards against most targets of a zone that are avoided because the other zones'
+// targets count as well.
+func TestAvoidedTargetsAreBoundedInEachZone(t *testing.T) {
+	is := is.New(t)
+	w := newFixture(t)
+	for n := range 20 {
+		w.add(fmt.Sprintf("c%d", n), "book", "c")
+	}
+	for n := 3; n < 10; n++ {
+		w.add(fmt.Sprintf("a%d", n), "book", "a")
+	}
+	w.apply()
+	loads := map[Token]TargetLoad{}
+	for n := range 10 {
+		loads[TokenOf(fleet.TargetKey(fmt.Sprintf("a%d", n)))] = TargetLoad{FastShare: 0.6 + 0.03*float64(n)}
+	}
+	w.SetPeerLoads(&PeerLoads{Hosts: 2, Targets: loads})
+	for key, target := range w.targets {
+		is.Equal(target.avoided, key == "a8" || key == "a9") // the two with the largest shares
+	}
 }
--- a/coordination/steering/observe.go
+++ b/coordination/steering/observe.go
@@ -39,6 +39,7 @@
 		f.open = true
 		f.ack = p.Ack
 		a.HandshakeTime = now - f.placedAt
+		r.answerTimes.addHandshake(a.HandshakeTime)
 		s.recordProgress(now, t)
 	}
 	if seqAfter(p.Ack, f.ack) {
--- a/coordination/steering/view.go
+++ b/coordination/steering/view.go
@@ -13,7 +13,7 @@
 	shares      []share
 	totalWeight int
 	idempotent  bool
-	answerTime  medianEstimate
+	answerTimes answerTimes
 }
 
 // share is a pool's weight in a route.
@@ -52,7 +52,7 @@
 	for i := range c.Routes {
 		r := newRoute(&c.Routes[i], s.pools)
 		if old := former[c.Routes[i].Endpoint]; old != nil && old.sameServices(r) {
-			r.answerTime = old.answerTime
+			r.answerTimes = old.answerTimes
 		}
 		s.routes[c.Routes[i].Endpoint] = r
 	}
