Log whether a removed target is missing or gone

target_removed stood for two states: a target that the store's copy or an outage's end lacks, whose flows are kept, and one that is gone, whose flows are given up. The line now has state=missing or state=gone, on the host that reads the store and on one that is fed. Directory.RemoveTarget returns the state. The line is written when the state changes; before, a deletion that arrived twice was logged twice.

--- a/coordination/fleet/directory.go
+++ b/coordination/fleet/directory.go
@@ -225,25 +225,46 @@
 	return ChangeNone
 }
 
+// Removal is what became of a target whose entry the store no longer has.
+type Removal uint8
+
+const (
+	// RemovalNone is a target that was unknown, missing or gone before.
+	RemovalNone Removal = iota
+	// RemovalMissing is a target that may write its entry again; its flows are kept.
+	RemovalMissing
+	// RemovalGone is a target that has left or died.
+	RemovalGone
+)
+
+// String returns the name used in logs.
+func (r Removal) String() string {
+	names := [...]string{"none", "missing", "gone"}
+	if int(r) < len(names) {
+		return names[r]
+	}
+	return "unknown"
+}
+
 // RemoveTarget records that the store has no entry of a target any more. The
 // target is gone at once, or missing if the store is unreachable or became
-// reachable again less than recoveryGrace ago. RemoveTarget reports whether the
-// target was neither before.
-func (d *Directory) RemoveTarget(now time.Duration, key TargetKey) bool {
+// reachable again less than recoveryGrace ago. RemoveTarget returns what became of
+// the target.
+func (d *Directory) RemoveTarget(now time.Duration, key TargetKey) Removal {
 	old := d.targets[key]
 	if old == nil || old.Gone || old.Missing {
-		return false
+		return RemovalNone
 	}
-	e := *old
-	e.Since = now
+	removal := RemovalGone
 	if d.storeLost || (d.storeWasLost && now < d.storeRegainedAt+recoveryGrace) {
-		e.Missing = true
-	} else {
-		e.Gone = true
+		removal = RemovalMissing
 	}
+	e := *old
+	e.Since = now
+	e.Missing, e.Gone = removal == RemovalMissing, removal == RemovalGone
 	d.targets[key] = &e
 	d.changed = true
-	return true
+	return removal
 }
 
 // MarkTargetMissing records that a target's entry can't be decoded: another
--- a/transport/follow/apply.go
+++ b/transport/follow/apply.go
@@ -18,8 +18,10 @@
 	key := f.targetKey(c.Key)
 	if c.Deleted {
 		delete(f.rejected, c.Key)
-		f.dir.RemoveTarget(f.cfg.Clock(), key)
-		f.cfg.Log.Info().Str("event", "target_removed").Str("target", string(key)).Uint64("revision", uint64(c.Revision)).Send()
+		if removal := f.dir.RemoveTarget(f.cfg.Clock(), key); removal != fleet.RemovalNone {
+			f.cfg.Log.Info().Str("event", "target_removed").Str("target", string(key)).Stringer("state", removal).
+				Uint64("revision", uint64(c.Revision)).Send()
+		}
 		return true
 	}
 	t, ok := f.decodeTarget(c.Entry)
--- a/transport/follow/list.go
+++ b/transport/follow/list.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/jujubehaven/jujubehaven/coordination/fleet"
 	"github.com/jujubehaven/jujubehaven/coordination/store"
 	"github.com/jujubehaven/jujubehaven/protocol/gossip"
 )
@@ -149,8 +150,10 @@
 // anything changed.
 func (f *Follower) applyUnlisted(key store.Key, index store.Index, held bool) bool {
 	if key.HasPrefix(f.cfg.Keys.Targets) {
-		if target := f.targetKey(key); f.dir.RemoveTarget(f.cfg.Clock(), target) {
-			f.cfg.Log.Info().Str("event", "target_removed").Str("target", string(target)).Bool("listed", true).Send()
+		target := f.targetKey(key)
+		if removal := f.dir.RemoveTarget(f.cfg.Clock(), target); removal != fleet.RemovalNone {
+			f.cfg.Log.Info().Str("event", "target_removed").Str("target", string(target)).Stringer("state", removal).
+				Bool("listed", true).Send()
 		}
 		return true
 	}
