Report the return of Consul's data from an older copy as a new epoch

Consul's HTTP API names no epoch. Its documentation advises clients to reset an index that goes back, which the watcher did; an index that was given out again exactly was noticed after 1 to 2 minutes only (documents.md said so). The client now counts epochs: when an index goes back, when a list differs from the former one in entries that were not written since, and when the last write read back after a watch without a change is another one. Watch takes and returns positions.

A host that was leaving counts as leaving for 4.5 s after the return, since the list of hosts has no generation. Ruled out: watching values, which are all documents in each wait; holding the whole list of hosts back, which would delay hosts that begin to leave. A watch without a change costs one more call; the count of internal/capacity includes it.

The stand-in returns from a copy of a chosen age (Platform.Restore).

--- a/coordination/documents/hosts.go
+++ b/coordination/documents/hosts.go
@@ -42,3 +42,30 @@
 	}
 	return hosts
 }
+
+// LeavingHosts returns the hosts that the list has as leaving.
+func LeavingHosts(list hostlist.List) []hostlist.Host {
+	var leaving []hostlist.Host
+	for _, h := range list.Hosts {
+		if h.State == hostlist.Leaving {
+			leaving = append(leaving, h)
+		}
+	}
+	return leaving
+}
+
+// KeepLeaving returns a list that may be an older copy, with hosts that are known to
+// be leaving.
+func KeepLeaving(list hostlist.List, leaving []hostlist.Host) hostlist.List {
+	known := map[string]bool{}
+	for _, h := range leaving {
+		known[h.Name] = true
+	}
+	kept := slices.Clone(leaving)
+	for _, h := range list.Hosts {
+		if !known[h.Name] {
+			kept = append(kept, h)
+		}
+	}
+	return hostlist.List{Hosts: kept}
+}
--- a/coordination/documents/watcher.go
+++ b/coordination/documents/watcher.go
@@ -11,9 +11,14 @@
 	// WatchTimeout is how long a watch waits for a change. If the store has lost
 	// its history, a watch waits for the whole time.
 	WatchTimeout = 3 * time.Second
-	// RereadInterval is the longest time between reads: after the store has lost
-	// its history, its index may reach that of a watch again unnoticed.
+	// RereadInterval is the longest time between reads: after the store has
+	// returned from an older copy, its index may reach that of a watch again, by the
+	// same last write, without notice.
 	RereadInterval = 2 * time.Minute
+	// RestoreGrace is how long after the store's return from an older copy the copy
+	// does not override what a host knows of leaving hosts. What was lost is written
+	// again within seconds.
+	RestoreGrace = 4500 * time.Millisecond
 	// IdlePollInterval is how often a host that does not follow the prefix checks
 	// whether it should.
 	IdlePollInterval = 500 * time.Millisecond
@@ -41,16 +46,17 @@
 type Step struct {
 	Kind  StepKind
 	Wait  time.Duration
-	After store.Index
+	After store.Position
 }
 
 // Watcher decides how one prefix of the store is followed: read once, then
-// watch, and read again after each change and at long intervals. Failed calls
+// watch, and read again after each change, at long intervals, and once more when
+// RestoreGrace has passed since the store returned from a copy. Failed calls
 // are retried with exponential backoff and jitter, so that hosts don't all
 // return to a recovering store at once. It is not safe for concurrent use.
 type Watcher struct {
 	rand     *rand.Rand
-	index    store.Index
+	position store.Position
 	upToDate bool
 	failures int
 	nextCall time.Duration
@@ -58,6 +64,8 @@
 	lastStep time.Duration
 	// nextRead is when to read next even without a change.
 	nextRead time.Duration
+	// graceEnd is the end of the grace after the store returned from a copy.
+	graceEnd time.Duration
 }
 
 // NewWatcher returns a watcher whose jitter depends on the seed.
@@ -80,23 +88,36 @@
 	if !w.upToDate || now >= w.nextRead {
 		return Step{Kind: StepRead}
 	}
-	return Step{Kind: StepWatch, Wait: WatchTimeout, After: w.index}
+	return Step{Kind: StepWatch, Wait: min(WatchTimeout, w.nextRead-now), After: w.position}
 }
 
-// ReadDone records a successful read as of the index.
-func (w *Watcher) ReadDone(index store.Index) {
+// ReadDone records a successful read as of the position. It reports whether the read
+// is the first after the store returned from an older copy.
+func (w *Watcher) ReadDone(at store.Position) (restored bool) {
+	restored = w.position.Index != 0 && !continues(w.position, at)
 	w.nextRead = w.lastStep + randomDuration(w.rand, RereadInterval/2, RereadInterval)
+	if restored {
+		w.graceEnd = w.lastStep + RestoreGrace
+	}
+	if w.lastStep < w.graceEnd {
+		w.nextRead = min(w.nextRead, w.graceEnd)
+	}
 	w.failures = 0
 	w.upToDate = true
-	w.index = index
+	w.position = at
+	return restored
 }
 
-// WatchDone records the end of a watch at the index; historyLost reports that the
-// store has lost its history, so that changes may have been missed.
-func (w *Watcher) WatchDone(index store.Index) (historyLost bool) {
+// WatchDone records the end of a watch at the position. The next step is a read
+// unless nothing has changed.
+func (w *Watcher) WatchDone(at store.Position) {
 	w.failures = 0
-	w.upToDate = index == w.index
-	return index < w.index
+	w.upToDate = at == w.position
+}
+
+// continues reports whether a position belongs to the same history as a former one.
+func continues(former, at store.Position) bool {
+	return at.Epoch == former.Epoch && at.Index >= former.Index
 }
 
 // Failed records a failed call and returns the delay before the next one. The
--- a/coordination/store/store.go
+++ b/coordination/store/store.go
@@ -72,11 +72,11 @@
 	// Delete removes the value if its revision is the expected one; else the
 	// error is of kind Conflict.
 	Delete(ctx context.Context, key Key, expected Revision) error
-	// Watch returns the index of the last change under the prefix once it is
-	// above after, or when wait has passed. With after 0 it returns at once. A
-	// returned index below after means that the store's history was lost: the
-	// caller has to call List again and watch from the returned index.
-	Watch(ctx context.Context, prefix Key, after Index, wait time.Duration) (Index, error)
+	// Watch returns the position of the last change under the prefix once its index
+	// is above that of after, or when wait has passed. With after zero it returns at
+	// once. A position of another epoch means that the store has returned from an
+	// older copy: the caller has to call List again and watch from its position.
+	Watch(ctx context.Context, prefix Key, after Position, wait time.Duration) (Position, error)
 }
 
 // Change is a written entry or a deleted key.
--- a/internal/capacity/store.go
+++ b/internal/capacity/store.go
@@ -196,7 +196,8 @@
 }
 
 // watcherCallsPerDay returns the number of calls that one watcher makes in a
-// day of virtual time.
+// day of virtual time. After a watch without a change, the client reads the last
+// write back.
 func watcherCallsPerDay() int {
 	w := documents.NewWatcher(seed)
 	every := day / changesPerDay
@@ -208,15 +209,20 @@
 			continue
 		}
 		count++
-		index := store.Index(now/every) + 1
+		position := func() store.Position {
+			return store.Position{Epoch: 1, Index: store.Index(now/every) + 1}
+		}
 		if step.Kind == documents.StepRead {
-			w.ReadDone(index)
+			w.ReadDone(position())
 			now += time.Millisecond
 			continue
 		}
-		changed := time.Duration(step.After) * every
+		changed := time.Duration(step.After.Index) * every
 		now = min(now+step.Wait, max(changed, now+time.Millisecond))
-		w.WatchDone(store.Index(now/every) + 1)
+		if position() == step.After {
+			count++
+		}
+		w.WatchDone(position())
 	}
 	return count
 }
--- a/internal/fakes/platform/faults.go
+++ b/internal/fakes/platform/faults.go
@@ -56,6 +56,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.view.index = 1
+	p.view.epoch++
+	p.undo = nil
 	clear(p.view.deleted)
 	keys := slices.SortedFunc(maps.Keys(p.view.entries), func(a, b store.Key) int {
 		return strings.Compare(string(a), string(b))
@@ -154,9 +156,10 @@
 	}
 }
 
-// watch blocks until the index under the prefix is greater than after or wait
-// has passed; it does not block if after is 0. It counts as one call.
-func (p *Platform) watch(ctx context.Context, prefix store.Key, after store.Index, wait time.Duration) (view, outcome) {
+// watch blocks until the index under the prefix is greater than that of after or
+// wait has passed; it does not block if the index is 0, nor if after names another
+// epoch. It counts as one call.
+func (p *Platform) watch(ctx context.Context, prefix store.Key, after store.Position, wait time.Duration) (view, outcome) {
 	var seen view
 	var changed chan struct{}
 	readView := func() {
@@ -168,7 +171,7 @@
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
-	for after != 0 && seen.indexOf(prefix) <= after {
+	for after.Index != 0 && (after.Epoch == 0 || after.Epoch == seen.epoch) && seen.indexOf(prefix) <= after.Index {
 		select {
 		case <-changed:
 		case <-timer.C:
--- a/internal/fakes/platform/memory.go
+++ b/internal/fakes/platform/memory.go
@@ -64,7 +64,7 @@
 	var s store.Snapshot
 	err := m.run(ctx, store.OpList, prefix, func() {
 		v := m.platform.readableView()
-		s = store.Snapshot{Entries: v.list(prefix), Index: v.indexOf(prefix)}
+		s = store.Snapshot{Entries: v.list(prefix), Epoch: v.epoch, Index: v.indexOf(prefix)}
 	})
 	return s, err
 }
@@ -94,14 +94,14 @@
 }
 
 // Watch implements store.Store.
-func (m *Memory) Watch(ctx context.Context, prefix store.Key, after store.Index, wait time.Duration) (store.Index, error) {
+func (m *Memory) Watch(ctx context.Context, prefix store.Key, after store.Position, wait time.Duration) (store.Position, error) {
 	ctx, cancel := context.WithTimeout(ctx, m.timeout+wait)
 	defer cancel()
 	v, o := m.platform.watch(ctx, prefix, after, wait)
 	if err := outcomeError(o, store.OpWatch, prefix); err != nil {
-		return 0, err
+		return store.Position{}, err
 	}
-	return v.indexOf(prefix), nil
+	return v.position(prefix), nil
 }
 
 // CreateLease implements store.Leases.
--- a/internal/fakes/platform/platform.go
+++ b/internal/fakes/platform/platform.go
@@ -33,10 +33,16 @@
 	staleView *view
 	faults    Faults
 	calls     map[store.Op]uint64
+	// undo holds how to revert each change, oldest first.
+	undo []undoStep
+	// undoTrimmed is set once the oldest steps were dropped.
+	undoTrimmed bool
 }
 
 // view is one version of the stored data.
 type view struct {
+	// epoch counts the returns from older copies.
+	epoch   store.Epoch
 	index   store.Index
 	entries map[store.Key]store.Entry
 	// deleted maps each deleted key to the index of its deletion.
@@ -50,7 +56,8 @@
 
 // Options configures a Platform.
 type Options struct {
-	// Now is the clock for the expiry of leases; nil means time.Now.
+	// Now is the clock for the expiry of leases and the age of copies; nil means
+	// time.Now.
 	Now func() time.Time
 }
 
@@ -62,6 +69,7 @@
 	return &Platform{
 		now: o.Now,
 		view: view{
+			epoch:   1,
 			index:   1,
 			entries: map[store.Key]store.Entry{},
 			deleted: map[store.Key]store.Index{},
@@ -73,7 +81,7 @@
 }
 
 func (v view) clone() view {
-	return view{index: v.index, entries: maps.Clone(v.entries), deleted: maps.Clone(v.deleted)}
+	return view{epoch: v.epoch, index: v.index, entries: maps.Clone(v.entries), deleted: maps.Clone(v.deleted)}
 }
 
 // list returns the entries whose keys have the prefix, ordered by key.
@@ -114,6 +122,11 @@
 	return p.view
 }
 
+// position returns the position of the last change under the prefix.
+func (v view) position(prefix store.Key) store.Position {
+	return store.Position{Epoch: v.epoch, Index: v.indexOf(prefix)}
+}
+
 func (p *Platform) wakeWatches() {
 	close(p.changed)
 	p.changed = make(chan struct{})
@@ -121,6 +134,7 @@
 
 // set writes the entry at a new index.
 func (p *Platform) set(key store.Key, value []byte, holder store.LeaseID) {
+	p.recordKey(key)
 	p.view.index++
 	delete(p.view.deleted, key)
 	p.view.entries[key] = store.Entry{
@@ -146,6 +160,7 @@
 	if !ok || entry.Revision != expected {
 		return false
 	}
+	p.recordKey(key)
 	p.view.index++
 	delete(p.view.entries, key)
 	p.view.deleted[key] = p.view.index
@@ -164,6 +179,7 @@
 }
 
 func (p *Platform) endLease(id store.LeaseID) {
+	p.recordLease(id)
 	delete(p.leases, id)
 	for key, entry := range p.view.entries {
 		if entry.Lease == id {
@@ -175,6 +191,7 @@
 func (p *Platform) createLease(ttl time.Duration) store.LeaseID {
 	p.lastLease++
 	id := store.LeaseID("lease-" + strconv.Itoa(p.lastLease))
+	p.recordLease(id)
 	p.leases[id] = lease{ttl: ttl, expires: p.now().Add(p.clockOffset + ttl)}
 	return id
 }
@@ -184,6 +201,7 @@
 	if !ok {
 		return false
 	}
+	p.recordLease(id)
 	l.expires = p.now().Add(p.clockOffset + l.ttl)
 	p.leases[id] = l
 	return true
--- a/internal/fakes/platform/server.go
+++ b/internal/fakes/platform/server.go
@@ -132,7 +132,7 @@
 	if err != nil {
 		wait = store.MaxWatchWait
 	}
-	return s.platform.watch(r.Context(), key, store.Index(after), wait)
+	return s.platform.watch(r.Context(), key, store.Position{Index: store.Index(after)}, wait)
 }
 
 func (s *Server) put(w http.ResponseWriter, r *http.Request) {
--- a/transport/consul/client.go
+++ b/transport/consul/client.go
@@ -54,6 +54,7 @@
 	token   string
 	timeout time.Duration
 	http    *http.Client
+	history *history
 }
 
 var (
@@ -73,6 +74,7 @@
 		token:   cfg.Token,
 		timeout: cfg.Timeout,
 		http:    cfg.HTTP,
+		history: newHistory(),
 	}
 	if c.timeout == 0 {
 		c.timeout = DefaultTimeout
--- a/transport/consul/contract_test.go
+++ b/transport/consul/contract_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -75,14 +77,72 @@
 	return string(value)
 }
 
+// copied makes writes to a/1 a minute after the fixture's, lists a/, and lets the
+// platform return from a copy that lacks the writes. It returns the list.
+func (f fixture) copied(writes int) store.Snapshot {
+	f.Helper()
+	f.platform.AdvanceClock(time.Minute)
+	for range writes {
+		f.platform.Set("a/1", []byte("lost"))
+	}
+	s, err := f.client.List(f.ctx, "a/")
+	f.NoErr(err)
+	f.NoErr(f.platform.Restore(time.Second))
+	return s
+}
+
+// writeAndRead creates and deletes a key repeatedly and returns an error if a call
+// fails or a read of a/ shows another epoch.
+func (f fixture) writeAndRead(key store.Key, epoch store.Epoch) error {
+	for range 20 {
+		if err := f.client.Put(f.ctx, key, []byte("x"), 0); err != nil {
+			return err
+		}
+		s, err := f.client.List(f.ctx, "a/")
+		if err != nil {
+			return err
+		}
+		entry, err := f.client.Get(f.ctx, key)
+		if err != nil {
+			return err
+		}
+		if err := f.client.Delete(f.ctx, key, entry.Revision); err != nil {
+			return err
+		}
+		at, err := f.client.Watch(f.ctx, "a/", s.Position(), callTimeout)
+		if err != nil {
+			return err
+		}
+		if s.Epoch != epoch || at.Epoch != epoch {
+			return fmt.Errorf("epochs %d and %d, want %d", s.Epoch, at.Epoch, epoch)
+		}
+	}
+	return nil
+}
+
+// reissued checks that a watch and a list of a/ show that the index of a former
+// list was given out again.
+func (f fixture) reissued(former store.Snapshot, key store.Key, value string) {
+	f.Helper()
+	at, err := f.client.Watch(f.ctx, "a/", former.Position(), callTimeout)
+	f.NoErr(err)
+	f.Equal(at.Index, former.Index)
+	f.True(at.Epoch > former.Epoch)
+	again, err := f.client.List(f.ctx, "a/")
+	f.NoErr(err)
+	f.Equal(again.Position(), at)
+	i := slices.IndexFunc(again.Entries, func(e store.Entry) bool { return e.Key == key })
+	f.Equal(string(again.Entries[i].Value), value)
+}
+
 // watch starts a watch and returns its result channel once the platform has
 // received the call.
-func (f fixture) watch(prefix store.Key, after store.Index) <-chan watchResult {
+func (f fixture) watch(prefix store.Key, after store.Position) <-chan watchResult {
 	before := f.platform.Calls()[store.OpWatch]
 	results := make(chan watchResult, 1)
 	go func() {
-		index, err := f.client.Watch(f.ctx, prefix, after, time.Minute)
-		results <- watchResult{index, err}
+		at, err := f.client.Watch(f.ctx, prefix, after, time.Minute)
+		results <- watchResult{at, err}
 	}()
 	for f.platform.Calls()[store.OpWatch] == before {
 		time.Sleep(time.Millisecond)
@@ -91,8 +151,8 @@
 }
 
 type watchResult struct {
-	index store.Index
-	err   error
+	at  store.Position
+	err error
 }
 
 // contract lists what every implementation of store.Store and store.Leases must
@@ -149,38 +209,39 @@
 	{"watch wakes on a change and on a delete", func(f fixture) {
 		s, err := f.client.List(f.ctx, "a/")
 		f.NoErr(err)
-		results := f.watch("a/", s.Index)
+		results := f.watch("a/", s.Position())
 		f.platform.Set("a/1", []byte("new"))
 		first := <-results
 		f.NoErr(first.err)
-		f.True(first.index > s.Index)
-		results = f.watch("a/", first.index)
+		f.True(s.Position().Before(first.at))
+		results = f.watch("a/", first.at)
 		f.NoErr(f.client.Delete(f.ctx, "a/1", f.revision("a/1")))
 		second := <-results
 		f.NoErr(second.err)
-		f.True(second.index > first.index)
+		f.True(first.at.Before(second.at))
 	}},
 	{"watch sees a change made before it", func(f fixture) {
 		s, err := f.client.List(f.ctx, "a/")
 		f.NoErr(err)
 		f.platform.Set("a/1", []byte("new"))
-		index, err := f.client.Watch(f.ctx, "a/", s.Index, time.Minute)
+		at, err := f.client.Watch(f.ctx, "a/", s.Position(), time.Minute)
 		f.NoErr(err)
-		f.True(index > s.Index)
+		f.Equal(at.Epoch, s.Epoch)
+		f.True(at.Index > s.Index)
 	}},
 	{"watch ends unchanged and ignores other prefixes", func(f fixture) {
 		s, err := f.client.List(f.ctx, "a/")
 		f.NoErr(err)
 		f.platform.Set("b/1", []byte("new"))
-		index, err := f.client.Watch(f.ctx, "a/", s.Index, callTimeout)
+		at, err := f.client.Watch(f.ctx, "a/", s.Position(), callTimeout)
 		f.NoErr(err)
-		f.Equal(index, s.Index)
+		f.Equal(at, s.Position())
 	}},
 	{"a waiting watch is one call", func(f fixture) {
 		s, err := f.client.List(f.ctx, "a/")
 		f.NoErr(err)
 		before := f.platform.Calls()[store.OpWatch]
-		results := f.watch("a/", s.Index)
+		results := f.watch("a/", s.Position())
 		for range 10 {
 			f.platform.Set("b/1", []byte("other"))
 		}
@@ -195,7 +256,7 @@
 		f.fails(err, store.Unavailable)
 		_, err = f.client.List(f.ctx, "a/")
 		f.fails(err, store.Unavailable)
-		_, err = f.client.Watch(f.ctx, "a/", 0, time.Minute)
+		_, err = f.client.Watch(f.ctx, "a/", store.Position{}, time.Minute)
 		f.fails(err, store.Unavailable)
 		err = f.client.Put(f.ctx, "a/1", []byte("new"), revision)
 		f.True(store.IsKind(err, store.Unavailable) || store.IsKind(err, store.UnknownOutcome))
@@ -206,7 +267,7 @@
 	{"outage ends a waiting watch", func(f fixture) {
 		s, err := f.client.List(f.ctx, "a/")
 		f.NoErr(err)
-		results := f.watch("a/", s.Index)
+		results := f.watch("a/", s.Position())
 		f.platform.SetFaults(platform.Faults{Outage: true})
 		f.fails((<-results).err, store.Unavailable)
 	}},
@@ -244,16 +305,106 @@
 		f.NoErr(err)
 		f.Equal(string(entry.Value), "new")
 	}},
-	{"a lost history shows as a lower index", func(f fixture) {
+	{"a lost history shows as a new epoch", func(f fixture) {
 		for range 10 {
 			f.platform.Set("a/1", []byte("many"))
 		}
 		s, err := f.client.List(f.ctx, "a/")
 		f.NoErr(err)
 		f.platform.ResetIndex()
-		index, err := f.client.Watch(f.ctx, "a/", s.Index, callTimeout)
+		at, err := f.client.Watch(f.ctx, "a/", s.Position(), callTimeout)
+		f.NoErr(err)
+		f.True(at.Epoch > s.Epoch)
+		again, err := f.client.List(f.ctx, "a/")
+		f.NoErr(err)
+		f.Equal(again.Position(), at)
+		at, err = f.client.Watch(f.ctx, "a/", again.Position(), callTimeout)
+		f.NoErr(err)
+		f.Equal(at, again.Position()) // reported once
+	}},
+	{"a copy's contents replace what was written since", func(f fixture) {
+		s := f.copied(1)
+		at, err := f.client.Watch(f.ctx, "a/", s.Position(), callTimeout)
+		f.NoErr(err)
+		f.True(at.Epoch > s.Epoch)
+		again, err := f.client.List(f.ctx, "a/")
+		f.NoErr(err)
+		f.Equal(string(again.Entries[0].Value), "one")
+		f.True(again.Index < s.Index)
+	}},
+	{"an index given out again is a new epoch: another key", func(f fixture) {
+		s := f.copied(1)
+		f.platform.Set("a/2", []byte("reissued"))
+		f.reissued(s, "a/2", "reissued")
+	}},
+	{"an index given out again is a new epoch: the same key", func(f fixture) {
+		s := f.copied(1)
+		f.platform.Set("a/1", []byte("reissued"))
+		f.reissued(s, "a/1", "reissued")
+	}},
+	{"an index given out again is a new epoch: a new key", func(f fixture) {
+		s := f.copied(1)
+		f.platform.Set("a/3", []byte("reissued"))
+		f.reissued(s, "a/3", "reissued")
+	}},
+	{"an index given out again is a new epoch: a deletion lost", func(f fixture) {
+		s, err := f.client.List(f.ctx, "a/")
+		f.NoErr(err)
+		f.platform.AdvanceClock(time.Minute)
+		f.NoErr(f.client.Delete(f.ctx, "a/1", s.Entries[0].Revision))
+		s, err = f.client.List(f.ctx, "a/")
+		f.NoErr(err)
+		f.NoErr(f.platform.Restore(time.Second))
+		f.platform.Set("a/2", []byte("reissued"))
+		f.reissued(s, "a/2", "reissued")
+	}},
+	{"an index passed again hides no change", func(f fixture) {
+		s := f.copied(2)
+		f.platform.Set("a/2", []byte("reissued"))
+		f.platform.Set("b/1", []byte("other"))
+		f.platform.Set("a/2", []byte("passed"))
+		at, err := f.client.Watch(f.ctx, "a/", s.Position(), time.Minute)
+		f.NoErr(err)
+		f.True(at != s.Position())
+		again, err := f.client.List(f.ctx, "a/")
 		f.NoErr(err)
-		f.True(index < s.Index)
+		f.Equal(string(again.Entries[0].Value), "one")
+		f.Equal(string(again.Entries[1].Value), "passed")
+		f.True(again.Epoch > s.Epoch)
+	}},
+	{"a new epoch holds for all prefixes", func(f fixture) {
+		other, err := f.client.List(f.ctx, "b/")
+		f.NoErr(err)
+		s := f.copied(1)
+		at, err := f.client.Watch(f.ctx, "a/", s.Position(), callTimeout)
+		f.NoErr(err)
+		f.True(at.Epoch > s.Epoch)
+		at, err = f.client.Watch(f.ctx, "b/", other.Position(), callTimeout)
+		f.NoErr(err)
+		f.True(at.Epoch > other.Epoch)
+	}},
+	{"writes, deletions and concurrent reads are no new epoch", func(f fixture) {
+		first, err := f.client.List(f.ctx, "a/")
+		f.NoErr(err)
+		errs := make(chan error, 4)
+		for reader := range cap(errs) {
+			go func() { errs <- f.writeAndRead(store.Key(fmt.Sprintf("a/r%d", reader)), first.Epoch) }()
+		}
+		for range cap(errs) {
+			f.NoErr(<-errs)
+		}
+	}},
+	{"a copy keeps what is older and its leases", func(f fixture) {
+		id := f.lease()
+		f.NoErr(f.client.Acquire(f.ctx, "l", []byte("1"), id))
+		revision := f.revision("l")
+		f.platform.AdvanceClock(time.Second)
+		late := f.lease()
+		f.NoErr(f.client.RevokeLease(f.ctx, id))
+		f.NoErr(f.platform.Restore(500 * time.Millisecond))
+		f.Equal(f.revision("l"), revision)
+		f.NoErr(f.client.RenewLease(f.ctx, id))
+		f.fails(f.client.RenewLease(f.ctx, late), store.LeaseLost)
 	}},
 	{"a lease excludes others until revoked", func(f fixture) {
 		first, second := f.lease(), f.lease()
--- a/transport/consul/kv.go
+++ b/transport/consul/kv.go
@@ -59,39 +59,77 @@
 		method: http.MethodGet, path: kvPath(prefix),
 		query: url.Values{"recurse": {""}, "consistent": {""}},
 	}
+	sent := c.history.sent(prefix)
 	resp, err := c.doIndexed(ctx, r)
 	if err != nil {
 		return store.Snapshot{}, err
 	}
 	snapshot := store.Snapshot{Index: resp.index}
-	if resp.status == http.StatusNotFound {
-		return snapshot, nil
-	}
 	var pairs []kvPair
-	if err := r.decode(resp, &pairs); err != nil {
-		return store.Snapshot{}, err
+	if resp.status != http.StatusNotFound {
+		if err := r.decode(resp, &pairs); err != nil {
+			return store.Snapshot{}, err
+		}
 	}
 	for _, p := range pairs {
 		snapshot.Entries = append(snapshot.Entries, p.entry())
 	}
+	snapshot.Epoch = c.history.received(prefix, sent, snapshot.Index, newListing(snapshot))
 	return snapshot, nil
 }
 
 // Watch implements store.Store with a blocking query. It queries only the keys,
-// which keeps the response short, since only the index is needed.
-func (c *Client) Watch(ctx context.Context, prefix store.Key, after store.Index, wait time.Duration) (store.Index, error) {
+// which keeps the response short, since only the index is needed. An index that
+// stays the same may have been given out again, so the last write is read back.
+func (c *Client) Watch(ctx context.Context, prefix store.Key, after store.Position, wait time.Duration) (store.Position, error) {
+	sent := c.history.sent(prefix)
+	if after.Index != 0 && after.Epoch != sent.epoch {
+		return store.Position{Epoch: sent.epoch, Index: max(sent.index, 1)}, nil
+	}
 	wait = min(wait, store.MaxWatchWait)
 	resp, err := c.doIndexed(ctx, request{
 		op: store.OpWatch, key: prefix,
 		method: http.MethodGet, path: kvPath(prefix),
 		query: url.Values{
 			"keys":  {""},
-			"index": {strconv.FormatUint(uint64(after), 10)},
+			"index": {strconv.FormatUint(uint64(after.Index), 10)},
 			"wait":  {strconv.FormatInt(wait.Milliseconds(), 10) + "ms"},
 		},
 		timeout: c.timeout + wait + wait/waitJitterDivisor,
 	})
-	return resp.index, err
+	if err != nil {
+		return store.Position{}, err
+	}
+	if resp.index == after.Index && sent.list != nil && sent.list.index == after.Index {
+		return c.confirm(ctx, prefix, sent)
+	}
+	sent.index = max(sent.index, after.Index)
+	return store.Position{Epoch: c.history.received(prefix, sent, resp.index, nil), Index: resp.index}, nil
+}
+
+// confirm returns the position of a list whose index has not changed. If the last
+// write is not the one that was listed, the index was given out again for another
+// one. If there is nothing to read back, as after a deletion, it lists again.
+func (c *Client) confirm(ctx context.Context, prefix store.Key, listed mark) (store.Position, error) {
+	unchanged := store.Position{Epoch: listed.epoch, Index: listed.list.index}
+	key, ok := listed.list.last()
+	if !ok {
+		again, err := c.List(ctx, prefix)
+		return again.Position(), err
+	}
+	entry, err := c.Get(ctx, key)
+	switch {
+	case store.IsKind(err, store.NotFound):
+		again, err := c.List(ctx, prefix)
+		return again.Position(), err
+	case err != nil:
+		return store.Position{}, err
+	case store.Index(entry.Revision) > unchanged.Index:
+		return store.Position{Epoch: listed.epoch, Index: store.Index(entry.Revision)}, nil
+	case stampOf(entry) != listed.list.entries[key]:
+		return store.Position{Epoch: c.history.returned(listed), Index: unchanged.Index}, nil
+	}
+	return unchanged, nil
 }
 
 // doIndexed sends a request and fails if the response has no index.
--- a/transport/docsource/docsource.go
+++ b/transport/docsource/docsource.go
@@ -72,6 +72,10 @@
 	mu    sync.Mutex
 	set   *documents.Set
 	hosts hostlist.List
+	// leaving holds the hosts that were leaving when the store returned from an older
+	// copy. They stay so until heldUntil, whatever the store lists.
+	leaving   []hostlist.Host
+	heldUntil time.Duration
 }
 
 // New returns a source without documents; Run obtains them.
@@ -181,10 +185,22 @@
 func (s *Source) setHosts(list hostlist.List) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.now() < s.heldUntil {
+		list = documents.KeepLeaving(list, s.leaving)
+	}
 	s.hosts = list
 	s.apply()
 }
 
+// holdLeaving keeps the hosts that are leaving as such until the grace after the
+// store's return from an older copy is over. The list of hosts is read again then.
+func (s *Source) holdLeaving() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = documents.LeavingHosts(s.hosts)
+	s.heldUntil = s.now() + documents.RestoreGrace
+}
+
 // apply passes the state to Config.Apply. The caller holds mu, which keeps
 // states in order.
 func (s *Source) apply() {
--- a/transport/docsource/docsource_test.go
+++ b/transport/docsource/docsource_test.go
@@ -3,19 +3,23 @@
 import (
 	"context"
 	"fmt"
+	"net/http/httptest"
 	"net/netip"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/jujubehaven/jujubehaven/coordination/documents"
 	"github.com/jujubehaven/jujubehaven/coordination/store"
 	"github.com/jujubehaven/jujubehaven/internal/fakes/platform"
 	"github.com/jujubehaven/jujubehaven/protocol/document"
 	"github.com/jujubehaven/jujubehaven/protocol/hostlist"
 	"github.com/jujubehaven/jujubehaven/protocol/peer"
+	"github.com/jujubehaven/jujubehaven/transport/consul"
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
 )
@@ -40,7 +44,7 @@
 `, generation, generation)
 }
 
-var zonesText = []byte("generation: 1\nchange: z-1\nzones: [{name: north, state: in}]\n")
+var zonesText = zonesOfGeneration(1)
 
 const ordersKey = document.Key("services/orders")
 
@@ -58,9 +62,9 @@
 	return g.Store.List(ctx, prefix)
 }
 
-func (g *gatedStore) Watch(ctx context.Context, prefix store.Key, after store.Index, wait time.Duration) (store.Index, error) {
+func (g *gatedStore) Watch(ctx context.Context, prefix store.Key, after store.Position, wait time.Duration) (store.Position, error) {
 	if g.unavailable.Load() {
-		return 0, &store.Error{Op: store.OpWatch, Kind: store.Unavailable}
+		return store.Position{}, &store.Error{Op: store.OpWatch, Kind: store.Unavailable}
 	}
 	return g.Store.Watch(ctx, prefix, after, wait)
 }
@@ -173,6 +177,29 @@
 	n.platform.Set(store.DocumentKey(ordersKey), ordersText(generation))
 }
 
+func zonesOfGeneration(generation int) []byte {
+	return fmt.Appendf(nil, "generation: %d\nchange: z-%d\nzones: [{name: north, state: in}]\n", generation, generation)
+}
+
+// listedHost returns an entry host whose address is that of the target of orders if
+// number is 1.
+func listedHost(number int, state hostlist.State) hostlist.Host {
+	address := netip.AddrFrom4([4]byte{10, 0, 1, byte(number)})
+	return hostlist.Host{
+		Name: fmt.Sprintf("h%d", number), Zone: "north", Address: address, State: state,
+		Relay: netip.AddrPortFrom(address, 6081).String(), Control: netip.AddrPortFrom(address, 7000).String(),
+	}
+}
+
+func (n *network) writeHosts(hosts ...hostlist.Host) {
+	is.New(n.t).NoErr(n.platform.SetHosts(hostlist.List{Hosts: hosts}))
+}
+
+// draining reports whether the target of the orders document drains.
+func (h *host) draining() bool {
+	return h.applied().Services[0].Targets[0].State == document.TargetDraining
+}
+
 func (n *network) writeInitial() {
 	n.platform.Set(store.DocumentKey(document.ZonesKey), zonesText)
 	n.writeOrders(1)
@@ -292,6 +319,71 @@
 	n.waitForGeneration(3)
 }
 
+// Guards against a change that is skipped because the store returned from an older
+// copy and gave out its index a second time.
+func TestReissuedIndexIsNotSkipped(t *testing.T) {
+	for _, overHTTP := range []bool{false, true} {
+		t.Run(fmt.Sprintf("overHTTP=%t", overHTTP), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			n := newNetwork(t)
+			n.writeInitial()
+			a := n.add("a", false, true)
+			if overHTTP {
+				server := httptest.NewServer(platform.NewServer(n.platform))
+				t.Cleanup(server.Close)
+				client, err := consul.New(consul.Config{URL: server.URL})
+				is.NoErr(err)
+				a.gate.Store = client
+			}
+			n.run(a)
+			n.waitForGeneration(1)
+			n.platform.AdvanceClock(time.Minute)
+			n.platform.Set(store.DocumentKey(document.ZonesKey), zonesOfGeneration(2))
+			n.waitFor("zones", func() bool { return a.applied().Zones.Generation == 2 })
+			watches := n.platform.Calls()[store.OpWatch]
+			n.waitFor("the next watch", func() bool { return n.platform.Calls()[store.OpWatch] > watches })
+			is.NoErr(n.platform.Restore(time.Second))
+			n.writeOrders(2) // at the index that the zones had before
+			n.waitForGeneration(2)
+		})
+	}
+}
+
+// Guards against new flows to a host that leaves, which an older copy of the store
+// lists as live or does not list. When the grace is over, the store's contents hold.
+func TestLeavingHostStaysSoAfterTheStoreReturns(t *testing.T) {
+	for name, before := range map[string][]hostlist.Host{
+		"live in the copy": {listedHost(1, hostlist.Live)}, "not in the copy": {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				n := newNetwork(t)
+				n.writeInitial()
+				n.writeHosts(before...)
+				a := n.add("a", false, true)
+				n.run(a)
+				n.waitForGeneration(1)
+				time.Sleep(10 * time.Second)
+				n.writeHosts(listedHost(1, hostlist.Leaving))
+				time.Sleep(time.Second)
+				is.True(a.draining())
+				is.NoErr(n.platform.Restore(5 * time.Second))
+				n.writeHosts(append(before, listedHost(2, hostlist.Live))...) // the first write after the return
+				time.Sleep(time.Second)
+				is.True(a.draining())
+				n.writeHosts(listedHost(1, hostlist.Live), listedHost(2, hostlist.Leaving))
+				time.Sleep(time.Second)
+				is.True(a.draining())
+				is.Equal(len(a.applied().Hosts), 0) // a new leaving host is taken from the list
+				time.Sleep(documents.RestoreGrace)
+				is.True(!a.draining())
+			})
+		})
+	}
+}
+
 func TestLeavingHostDrainsItsTargets(t *testing.T) {
 	is := is.New(t)
 	n := newNetwork(t)
--- a/transport/docsource/follow.go
+++ b/transport/docsource/follow.go
@@ -20,8 +20,9 @@
 	prefix  store.Key
 	watcher *documents.Watcher
 	wanted  func() bool
-	// receive processes the entries under the prefix.
-	receive func([]store.Entry)
+	// receive processes the entries under the prefix. restored is set if they are the
+	// first since the store returned from an older copy.
+	receive func(entries []store.Entry, restored bool)
 	// failing is set while calls fail, so that only the first failure is logged.
 	failing bool
 }
@@ -78,19 +79,21 @@
 	if f.failed(ctx, store.OpList, err) {
 		return
 	}
-	f.watcher.ReadDone(snapshot.Index)
-	f.receive(snapshot.Entries)
+	restored := f.watcher.ReadDone(snapshot.Position())
+	if restored {
+		f.source.cfg.Metrics.historyLost.Inc()
+		f.source.cfg.Log.Warn().Str("event", "store_history_lost").Str("prefix", string(f.prefix)).
+			Uint64("epoch", uint64(snapshot.Epoch)).Uint64("revision", uint64(snapshot.Index)).Send()
+	}
+	f.receive(snapshot.Entries, restored)
 }
 
 func (f *follower) watch(ctx context.Context, step documents.Step) {
-	index, err := f.source.cfg.Store.Watch(ctx, f.prefix, step.After, step.Wait)
+	at, err := f.source.cfg.Store.Watch(ctx, f.prefix, step.After, step.Wait)
 	if f.failed(ctx, store.OpWatch, err) {
 		return
 	}
-	if f.watcher.WatchDone(index) {
-		f.source.cfg.Metrics.historyLost.Inc()
-		f.source.cfg.Log.Warn().Str("event", "store_history_lost").Str("prefix", string(f.prefix)).Send()
-	}
+	f.watcher.WatchDone(at)
 }
 
 // failed records the result of a call and reports whether it failed.
@@ -115,7 +118,9 @@
 	return true
 }
 
-func (s *Source) receiveDocuments(entries []store.Entry) {
+// receiveDocuments offers the stored documents to the set, which takes only higher
+// generations, also from a copy.
+func (s *Source) receiveDocuments(entries []store.Entry, _ bool) {
 	var texts []documents.Text
 	for _, entry := range entries {
 		key, ok := entry.Key.Document()
@@ -130,7 +135,10 @@
 
 // receiveHosts replaces the list of hosts. A missing or invalid list leaves the
 // previous one in place.
-func (s *Source) receiveHosts(entries []store.Entry) {
+func (s *Source) receiveHosts(entries []store.Entry, restored bool) {
+	if restored {
+		s.holdLeaving()
+	}
 	for _, entry := range entries {
 		if entry.Key != store.HostsKey {
 			continue
--- a/transport/docsource/metrics.go
+++ b/transport/docsource/metrics.go
@@ -33,7 +33,7 @@
 		}, []string{"result"}),
 		historyLost: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "jujubehaven_store_history_lost_total",
-			Help: "Watches whose index went back.",
+			Help: "Returns of the store from an older copy, by which its index went back.",
 		}),
 		rejectedHostLists: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "jujubehaven_host_lists_rejected_total",
