--- a/coordination/steering/allotted.go
+++ b/coordination/steering/allotted.go
@@ -96,7 +96,7 @@
 		return allottedChoice{}
 	}
 	c := allottedChoice{inForce: true, zone: s.cfg.Zone, peersMean: pl.peersMean}
-	if took := r.answerTime.median; took > reportAge {
+	if took := r.answerTimes.median.value; took > reportAge {
 		c.reportWeight = math.Exp(-float64(reportAge) / float64(took))
 	}
 	return c
--- a/coordination/steering/fastanswers.go
+++ b/coordination/steering/fastanswers.go
@@ -93,8 +93,9 @@
 // answerTimes is what a host has learned of a route's answers.
 type answerTimes struct {
 	// roundTrip is the median time of a handshake, service the usualQuantile of the
-	// times from a request to its answer without the round trip.
-	roundTrip, service quantileEstimate
+	// times from a request to its answer without the round trip, and median their
+	// median.
+	roundTrip, service, median quantileEstimate
 }
 
 // addHandshake adds the time of a handshake.
@@ -113,6 +114,7 @@
 		weight = outlierWeight
 	}
 	a.service.addSample(served, usualQuantile, weight)
+	a.median.addSample(served, 0.5, 1)
 	return tooFast
 }
 
