Guard document writes against revisions that a restored store gives out again

A store that has returned from an older copy gives a revision out again for other contents, so compare-and-swap succeeded on a value that the change was not made from: another operator's document or claims were overwritten, and a claim lost between its write and its use gave one address to two services.

A write now creates a guard, a key that is used once, reads and compares the contents that it relies on, and checks and deletes the guard in the transaction that writes (Consul's /v1/txn). Ruled out: reading again before the write or comparing epochs after it, which leave a gap, and a session, which a copy made after it has without what was read after it. A change costs one list and one guard more; with new addresses 1 list, 1 get and 3 guards more.

doc apply ends with exit code 3 if the contents differ or the claim is lost; zone out is made again on top. MayHaveRun now follows from the guard of an unanswered write, as equal generations prove nothing across a return.

TestOutage expected an unknown outcome of a store that is slow from the start. Now nothing was written by then, so that case expects Unavailable, and a new one is slow during the write. TestCalls has the new counts.

--- a/coordination/changes/claims.go
+++ b/coordination/changes/claims.go
@@ -86,12 +86,12 @@
 	return list, nil
 }
 
-func writeClaims(ctx context.Context, s store.Store, list claimList) error {
+func writeClaims(ctx context.Context, s store.Store, list claimList, guard store.Guard) error {
 	text, err := json.Marshal(list)
 	if err != nil {
 		return err
 	}
-	return s.Put(ctx, store.ClaimsKey, text, list.revision)
+	return s.PutGuarded(ctx, store.ClaimsKey, text, list.revision, guard)
 }
 
 // pending returns the claims whose document may still be written. The documents
@@ -129,36 +129,69 @@
 	return false
 }
 
+// errClaimLost means that the claim of a change is not in the store, which has
+// returned from an older copy.
+var errClaimLost = errors.New("the claim of the change is not in the store")
+
 // acquireClaim reads the claims and documents, checks the service against both
 // and writes its claim. If it returns nil, no other service can get the
-// service's addresses and tunnels until the claim ends.
+// service's addresses and tunnels until the claim ends or the store loses it.
 func (w *Writer) acquireClaim(ctx context.Context, s document.Service) error {
 	own := newClaim(s)
 	return w.retry(ctx, func() (done bool, err error) {
-		list, err := readClaims(ctx, w.store)
-		if err != nil {
-			return false, err
-		}
-		all, err := Load(ctx, w.store)
-		if err != nil {
-			return false, err
-		}
-		pending := list.pending(all)
-		if err := checkClaims(pending, s); err != nil {
-			return true, err
-		}
-		conflicts := conflictsWith(document.ServiceKey(s.Name), document.CheckServices(servicesWith(all, s)))
-		if len(conflicts) > 0 {
-			return true, &CheckError{Conflicts: conflicts}
-		}
-		if list.contains(own.Change) {
-			return true, nil
-		}
-		err = writeClaims(ctx, w.store, claimList{Claims: append(pending, own), revision: list.revision})
+		err = w.guarded(ctx, func(guard store.Guard) (wrote bool, err error) {
+			list, all, err := w.readForClaim(ctx, guard)
+			if err != nil {
+				return false, err
+			}
+			pending := list.pending(all)
+			if err := checkClaims(pending, s); err != nil {
+				return false, err
+			}
+			conflicts := conflictsWith(document.ServiceKey(s.Name), document.CheckServices(servicesWith(all, s)))
+			if len(conflicts) > 0 {
+				return false, &CheckError{Conflicts: conflicts}
+			}
+			if list.contains(own.Change) {
+				return false, nil
+			}
+			err = writeClaims(ctx, w.store, claimList{Claims: append(pending, own), revision: list.revision}, guard)
+			return err == nil, err
+		})
 		return err == nil, err
 	})
 }
 
+// readForClaim reads the claims and then the documents. It fails if one of them was
+// written after the guard, which then says nothing about it.
+func (w *Writer) readForClaim(ctx context.Context, guard store.Guard) (claimList, Snapshot, error) {
+	list, err := readClaims(ctx, w.store)
+	if err != nil {
+		return claimList{}, Snapshot{}, err
+	}
+	all, err := Load(ctx, w.store)
+	if err != nil {
+		return claimList{}, Snapshot{}, err
+	}
+	newest := list.revision
+	for _, stored := range all.Documents {
+		newest = max(newest, stored.Revision)
+	}
+	if newest > guard.Revision {
+		return claimList{}, Snapshot{}, retryLater(store.ClaimsKey, errWrittenMeanwhile)
+	}
+	return list, all, nil
+}
+
+// checkOwnClaim fails if the claim of a change is not in the store.
+func (w *Writer) checkOwnClaim(ctx context.Context, change string) error {
+	list, err := readClaims(ctx, w.store)
+	if err == nil && !list.contains(change) {
+		return errClaimLost
+	}
+	return err
+}
+
 func servicesWith(all Snapshot, s document.Service) []document.Service {
 	services, _ := all.withDocument(document.Document{Service: &s})
 	return services
@@ -183,12 +216,18 @@
 // ends with the next change of the service.
 func (w *Writer) removeClaim(ctx context.Context, change string) error {
 	return w.retry(ctx, func() (done bool, err error) {
-		list, err := readClaims(ctx, w.store)
-		if err != nil || !list.contains(change) {
+		err = w.guarded(ctx, func(guard store.Guard) (wrote bool, err error) {
+			list, err := readClaims(ctx, w.store)
+			switch {
+			case err != nil || !list.contains(change):
+				return false, err
+			case list.revision > guard.Revision:
+				return false, retryLater(store.ClaimsKey, errWrittenMeanwhile)
+			}
+			list.Claims = slices.DeleteFunc(list.Claims, func(c claim) bool { return c.Change == change })
+			err = writeClaims(ctx, w.store, list, guard)
 			return err == nil, err
-		}
-		list.Claims = slices.DeleteFunc(list.Claims, func(c claim) bool { return c.Change == change })
-		err = writeClaims(ctx, w.store, list)
+		})
 		return err == nil, err
 	})
 }
--- a/coordination/changes/error.go
+++ b/coordination/changes/error.go
@@ -61,7 +61,7 @@
 }
 
 // ConflictError means that another change of the document was written after the
-// base of this change. This change was not written, unless MayHaveRun is set:
+// base of this change, or that the store has lost what this change relies on. This change was not written, unless MayHaveRun is set:
 // then it may have been written before the other replaced it.
 type ConflictError struct {
 	Key document.Key
@@ -73,6 +73,9 @@
 	Diff string
 	// MayHaveRun is set when this change may have been in force for a time.
 	MayHaveRun bool
+	// ClaimLost is set when the store has returned from an older copy, which lacks
+	// the claim of this change. Nobody has changed the document.
+	ClaimLost bool
 }
 
 // Error returns the key and the generations, without the diff.
@@ -82,6 +85,9 @@
 	if e.Current.Revision != 0 {
 		text += ", change " + e.Current.Document.Change()
 	}
+	if e.ClaimLost {
+		text += "; the store has returned from an older copy and lost the claim of this change"
+	}
 	if e.MayHaveRun {
 		text += "; this change may have been in force in between"
 	}
--- a/coordination/changes/race_test.go
+++ b/coordination/changes/race_test.go
@@ -20,6 +20,13 @@
 	raceServices  = 4
 	raceAddresses = 5
 	raceSeed      = 1
+	// With these numbers, most changes are written while the store returns.
+	returnChanges   = 40
+	returnAddresses = 8
+	// maxTimeToReturn bounds the time until the store returns from a copy again,
+	// maxCopyAge the age of the copy. A change takes about a millisecond.
+	maxTimeToReturn = 4 * time.Millisecond
+	maxCopyAge      = 2 * time.Millisecond
 )
 
 // race records which change was reported as written for each generation.
@@ -27,6 +34,12 @@
 	fixture
 	mu      sync.Mutex
 	written map[string]string
+	// returns is set if the store returns from older copies.
+	returns bool
+	// changes is the number of changes of each operator, addresses that of the
+	// addresses that they use.
+	changes, addresses int
+	writes, conflicts  int
 }
 
 // Many operators concurrently move services between a few addresses while
@@ -34,7 +47,7 @@
 // each change reported as written must have a generation of its own.
 func TestManyOperators(t *testing.T) {
 	t.Logf("seed %d", raceSeed)
-	r := &race{fixture: newFixture(t), written: map[string]string{}}
+	r := &race{fixture: newFixture(t), written: map[string]string{}, changes: raceChanges, addresses: raceAddresses}
 	var wg sync.WaitGroup
 	for operator := range raceOperators {
 		wg.Go(func() { r.runOperator(rand.New(rand.NewPCG(raceSeed, uint64(operator)))) })
@@ -44,37 +57,76 @@
 	r.True(len(r.written) > raceServices) // some changes were written
 }
 
+// The same while the store returns from older copies: a claim and the check that it
+// stands for may be lost between any two calls, and revisions are given out again.
+func TestManyOperatorsWhileTheStoreReturns(t *testing.T) {
+	t.Logf("seed %d", raceSeed)
+	r := &race{fixture: newFixture(t), returns: true, changes: returnChanges, addresses: returnAddresses}
+	done := make(chan struct{})
+	var returning, operators sync.WaitGroup
+	returning.Go(func() {
+		rng := rand.New(rand.NewPCG(raceSeed, raceOperators))
+		for {
+			select {
+			case <-done:
+				return
+			case <-time.After(time.Duration(rng.IntN(int(maxTimeToReturn)))):
+				if err := r.platform.Restore(time.Duration(rng.IntN(int(maxCopyAge)))); err != nil {
+					t.Error(err)
+				}
+			}
+		}
+	})
+	for operator := range raceOperators {
+		operators.Go(func() { r.runOperator(rand.New(rand.NewPCG(raceSeed, uint64(operator)))) })
+	}
+	operators.Wait()
+	close(done)
+	returning.Wait()
+	t.Logf("%d changes written, %d conflicts", r.writes, r.conflicts)
+	r.True(r.writes > raceServices) // some changes were written
+	r.True(r.conflicts > 0)
+}
+
 func (r *race) runOperator(rng *rand.Rand) {
 	w := NewWriter(r.store, r.ids.next, Options{
 		Sleep: func(context.Context, time.Duration) error { return nil },
 	})
-	for range raceChanges {
+	for range r.changes {
 		if rng.IntN(4) == 0 {
 			r.platform.SetFaults(platform.Faults{LoseAnswers: rng.IntN(3)})
 		}
-		plan, err := w.Plan(r.ctx, r.request(raceText(rng), ""))
-		if err == nil && !plan.Unchanged && w.Write(r.ctx, plan) == nil {
-			r.record(plan)
+		plan, err := w.Plan(r.ctx, r.request(raceText(rng, r.addresses), ""))
+		if err == nil && !plan.Unchanged {
+			r.record(plan, w.Write(r.ctx, plan))
 		}
 		r.checkStored()
 	}
 }
 
 // raceText returns the document of a random service with a random address.
-func raceText(rng *rand.Rand) string {
+func raceText(rng *rand.Rand, addresses int) string {
 	service := rng.IntN(raceServices)
 	return strings.NewReplacer(
 		"orders", fmt.Sprintf("s%d", service),
-		"192.0.2.1", fmt.Sprintf("192.0.2.%d", rng.IntN(raceAddresses)),
+		"192.0.2.1", fmt.Sprintf("192.0.2.%d", rng.IntN(addresses)),
 		"10.0.1.1", fmt.Sprintf("10.0.1.%d", service),
 	).Replace(ordersText)
 }
 
-func (r *race) record(plan Plan) {
-	id := fmt.Sprintf("%s generation %d", plan.Key, plan.Next.Document.Generation())
-	change := plan.Next.Document.Change()
+func (r *race) record(plan Plan, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if err != nil {
+		r.conflicts++
+		return
+	}
+	r.writes++
+	if r.returns {
+		return // a lost generation is written again
+	}
+	id := fmt.Sprintf("%s generation %d", plan.Key, plan.Next.Document.Generation())
+	change := plan.Next.Document.Change()
 	if other, ok := r.written[id]; ok {
 		r.t.Errorf("%s was written by %s and %s", id, other, change)
 	}
--- a/coordination/changes/writer.go
+++ b/coordination/changes/writer.go
@@ -14,8 +14,8 @@
 	// minDelay and maxDelay bound the delay between attempts.
 	minDelay = 20 * time.Millisecond
 	maxDelay = time.Second
-	// removeClaimTimeout is the timeout for removing a claim after a change.
-	removeClaimTimeout = 2 * time.Second
+	// cleanupTimeout is the timeout for removing a claim or a guard after a change.
+	cleanupTimeout = 2 * time.Second
 )
 
 // Writer writes changes to the store. It is safe for concurrent use.
@@ -175,56 +175,53 @@
 }
 
 // Write writes a planned change. If an attempt's answer is lost, it reads the
-// document back and retries until the outcome is known or the context is done;
-// the expected revision makes the write idempotent. The error is a *CheckError,
-// *ConflictError or *store.Error; the kind UnknownOutcome means that the change
-// may have been written or may still be.
+// document back and retries until the outcome is known or the context is done; the
+// compared contents make the write idempotent. The error is a *CheckError,
+// *ConflictError or *store.Error; the kind UnknownOutcome means that the change may
+// have been written or may still be.
 func (w *Writer) Write(ctx context.Context, plan Plan) error {
 	if plan.Unchanged {
 		return nil
 	}
 	service := plan.Next.Document.Service
 	if service == nil || !needsClaim(plan.Base, *service) {
-		return w.put(ctx, plan)
+		return w.put(ctx, plan, false)
 	}
 	if err := w.acquireClaim(ctx, *service); err != nil {
 		w.releaseClaim(ctx, service.Change)
-		return claimError(err)
+		return unwritten(err)
 	}
-	err := w.put(ctx, plan)
+	err := w.put(ctx, plan, true)
 	if !store.IsKind(err, store.UnknownOutcome) {
 		w.releaseClaim(ctx, service.Change)
 	}
 	return err
 }
 
-func (w *Writer) put(ctx context.Context, plan Plan) error {
-	key := store.DocumentKey(plan.Key)
-	answerLost := false
+// put writes the document of a plan; claimed is set if the plan needs its claim.
+func (w *Writer) put(ctx context.Context, plan Plan, claimed bool) error {
+	// unanswered holds the guards of the attempts whose outcome is unknown.
+	var unanswered []store.Guard
 	err := w.retry(ctx, func() (done bool, err error) {
-		err = w.store.Put(ctx, key, plan.Next.Text, plan.Base.Revision)
+		guard, err := w.putGuarded(ctx, plan, claimed)
 		switch {
+		case errors.Is(err, errBaseChanged), errors.Is(err, errClaimLost), store.IsKind(err, store.Conflict):
+			return w.resolveConflict(ctx, plan, err, unanswered)
 		case store.IsKind(err, store.UnknownOutcome):
-			answerLost = true
+			unanswered = append(unanswered, guard)
 			if w.isWritten(ctx, plan) {
 				return true, nil
 			}
-		case store.IsKind(err, store.Conflict):
-			return w.resolveConflict(ctx, plan, answerLost)
 		}
 		return err == nil, err
 	})
-	if answerLost && store.IsKind(err, store.Unavailable) {
-		return &store.Error{Op: store.OpPut, Key: key, Kind: store.UnknownOutcome, Cause: err}
+	if err == nil {
+		for _, guard := range unanswered {
+			w.removeGuard(ctx, guard)
+		}
 	}
-	return err
-}
-
-// claimError returns the error of a failed claim as Unavailable if its outcome is
-// unknown: the claim may have been written, but the document was not.
-func claimError(err error) error {
-	if store.IsKind(err, store.UnknownOutcome) {
-		return &store.Error{Op: store.OpPut, Key: store.ClaimsKey, Kind: store.Unavailable, Cause: err}
+	if len(unanswered) > 0 && store.IsKind(err, store.Unavailable) {
+		return &store.Error{Op: store.OpPut, Key: store.DocumentKey(plan.Key), Kind: store.UnknownOutcome, Cause: err}
 	}
 	return err
 }
@@ -239,10 +236,10 @@
 	return err == nil && doc.Change() == plan.Next.Document.Change()
 }
 
-// resolveConflict reads the document back after a conflict, as this change itself
-// may have raised the revision. answerLost means that the outcome of an earlier
-// attempt is unknown.
-func (w *Writer) resolveConflict(ctx context.Context, plan Plan, answerLost bool) (done bool, err error) {
+// resolveConflict reads the document back after an attempt that did not find what
+// the plan relies on, as an earlier attempt of this change may have written it.
+// unanswered holds the guards of the attempts whose outcome is unknown.
+func (w *Writer) resolveConflict(ctx context.Context, plan Plan, cause error, unanswered []store.Guard) (done bool, err error) {
 	all, err := Load(ctx, w.store)
 	if err != nil {
 		return false, err
@@ -251,26 +248,35 @@
 	if current.Revision != 0 && current.Document.Change() == plan.Next.Document.Change() {
 		return true, nil
 	}
-	if current.Revision == plan.Base.Revision {
-		// The write found a later revision than this read returned.
-		return false, &store.Error{
-			Op: store.OpList, Key: store.DocumentKey(plan.Key), Kind: store.Unavailable,
-			Cause: errors.New("the store returned a stale read"),
-		}
+	sameBase := sameValue(store.Entry{Value: current.Text, Revision: current.Revision}, plan.Base)
+	if sameBase && !errors.Is(cause, errClaimLost) {
+		return false, retryLater(store.DocumentKey(plan.Key), errBaseUnchanged)
 	}
-	// Each generation is written only once: another change with this change's
-	// generation proves that this change was not written.
-	replaced := current.generation() > plan.Next.Document.Generation()
-	return true, &ConflictError{
-		Key: plan.Key, Base: plan.Base.generation(), Current: current,
-		Diff:       document.Diff(string(plan.Base.Text), string(current.Text)),
-		MayHaveRun: answerLost && replaced,
+	conflict := conflictError(plan, current)
+	conflict.ClaimLost = sameBase
+	conflict.MayHaveRun = w.mayHaveRun(ctx, unanswered)
+	return true, conflict
+}
+
+// mayHaveRun reports whether a change that is not in the store may have been in force
+// for a time. As long as its guard is in the store, an attempt has had no effect. That
+// would be wrong only after a return from a copy that was made between the creation
+// of the guard and its write.
+func (w *Writer) mayHaveRun(ctx context.Context, unanswered []store.Guard) bool {
+	lost := false
+	for _, guard := range unanswered {
+		if w.guardLost(ctx, guard) {
+			lost = true
+			continue
+		}
+		w.removeGuard(ctx, guard)
 	}
+	return lost
 }
 
 // releaseClaim removes a claim, also if ctx is already done.
 func (w *Writer) releaseClaim(ctx context.Context, change string) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), removeClaimTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cleanupTimeout)
 	defer cancel()
 	_ = w.removeClaim(ctx, change) // on failure, the service's next change ends the claim
 }
--- a/coordination/changes/writer_test.go
+++ b/coordination/changes/writer_test.go
@@ -96,14 +96,31 @@
 	f.True(conflict.MayHaveRun) // it was in force before the other's change
 }
 
+// faultyPutStore injects faults while a value is written.
+type faultyPutStore struct {
+	store.Store
+	platform *platform.Platform
+	faults   platform.Faults
+}
+
+func (s faultyPutStore) PutGuarded(ctx context.Context, key store.Key, value []byte, expected store.Revision, guard store.Guard) error {
+	s.platform.SetFaults(s.faults)
+	defer s.platform.SetFaults(platform.Faults{})
+	return s.Store.PutGuarded(ctx, key, value, expected, guard)
+}
+
 func TestOutage(t *testing.T) {
 	tests := []struct {
 		name   string
 		faults platform.Faults
-		kind   store.Kind
+		// duringWrite is set if the faults are injected while the document is written.
+		duringWrite bool
+		kind        store.Kind
 	}{
-		{"refused", platform.Faults{Outage: true}, store.Unavailable},
-		{"too slow to answer", platform.Faults{Delay: time.Minute}, store.UnknownOutcome},
+		{"refused", platform.Faults{Outage: true}, false, store.Unavailable},
+		{"too slow to answer before the write", platform.Faults{Delay: time.Minute}, false, store.Unavailable},
+		{"refused during the write", platform.Faults{Outage: true}, true, store.Unavailable},
+		{"too slow to answer the write", platform.Faults{Delay: time.Minute}, true, store.UnknownOutcome},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -112,9 +129,14 @@
 			w := f.writer(2)
 			plan, err := w.Plan(f.ctx, f.request(f.edit(ordersKey, "2000", "1000"), ""))
 			f.NoErr(err)
-			f.platform.SetFaults(tt.faults)
+			if tt.duringWrite {
+				w.store = faultyPutStore{f.store, f.platform, tt.faults}
+			} else {
+				f.platform.SetFaults(tt.faults)
+			}
 			f.True(store.IsKind(w.Write(f.ctx, plan), tt.kind))
 			f.platform.SetFaults(platform.Faults{})
+			w.store = f.store
 			f.Equal(f.stored(ordersKey).generation(), uint64(1))
 			f.NoErr(w.Write(f.ctx, plan)) // the same change can be repeated
 		})
@@ -313,17 +335,17 @@
 		before := f.platform.Calls()
 		change()
 		var parts []string
-		for _, op := range []store.Op{store.OpGet, store.OpList, store.OpPut, store.OpDelete} {
+		for _, op := range []store.Op{store.OpGet, store.OpList, store.OpPut, store.OpDelete, store.OpCreateGuard} {
 			parts = append(parts, fmt.Sprintf("%s=%d", op, f.platform.Calls()[op]-before[op]))
 		}
 		return strings.Join(parts, " ")
 	}
-	f.Equal(count(func() { f.mustApply(ordersText, "") }), "get=2 list=2 put=3 delete=0") // new addresses
+	f.Equal(count(func() { f.mustApply(ordersText, "") }), "get=3 list=3 put=3 delete=0 create-guard=3") // new addresses
 	edited := f.edit(ordersKey, "2000", "1000")
-	f.Equal(count(func() { f.mustApply(edited, "") }), "get=0 list=1 put=1 delete=0")
-	f.Equal(count(func() { f.mustApply(edited, "") }), "get=0 list=1 put=0 delete=0") // no change
+	f.Equal(count(func() { f.mustApply(edited, "") }), "get=0 list=2 put=1 delete=0 create-guard=1")
+	f.Equal(count(func() { f.mustApply(edited, "") }), "get=0 list=1 put=0 delete=0 create-guard=0") // no change
 	f.Equal(count(func() {
 		_, err := f.writer(3).SetZone(f.ctx, "north", document.ZoneOut, 0)
 		f.NoErr(err)
-	}), "get=0 list=1 put=1 delete=0")
+	}), "get=0 list=2 put=1 delete=0 create-guard=1")
 }
--- a/coordination/store/error.go
+++ b/coordination/store/error.go
@@ -80,6 +80,7 @@
 	OpRenewLease  Op = "renew-lease"
 	OpRevokeLease Op = "revoke-lease"
 	OpAcquire     Op = "acquire"
+	OpCreateGuard Op = "create-guard"
 )
 
 // Writes reports whether the operation changes the store.
--- a/coordination/store/keys.go
+++ b/coordination/store/keys.go
@@ -12,6 +12,8 @@
 	DocumentsPrefix Key = "jujubehaven/documents/"
 	// ClaimsKey holds the addresses that are assigned to services or about to be.
 	ClaimsKey Key = "jujubehaven/claims"
+	// GuardsPrefix is the prefix of the keys of guards.
+	GuardsPrefix Key = "jujubehaven/guards/"
 	// HostsKey holds the platform's list of live and leaving hosts, in the
 	// format of package hostlist.
 	HostsKey Key = "jujubehaven/hosts"
--- a/coordination/store/store.go
+++ b/coordination/store/store.go
@@ -58,6 +58,16 @@
 // Position returns the position of the snapshot.
 func (s *Snapshot) Position() Position { return Position{Epoch: s.Epoch, Index: s.Index} }
 
+// Guard is an entry under a key that is used once. A revision does not identify a
+// value: a store that has returned from an older copy gives it out again for another
+// one. The copy has either both the guard and all that was written before it, or no
+// guard. So a guarded write relies on a value only if it was read after the guard was
+// created and has a lower revision than the guard.
+type Guard struct {
+	Key      Key
+	Revision Revision
+}
+
 // Store reads, writes and watches values. Every error is an *Error. A write
 // that fails with kind UnknownOutcome may have taken effect or may still do so;
 // the caller has to read the value back.
@@ -72,6 +82,12 @@
 	// Delete removes the value if its revision is the expected one; else the
 	// error is of kind Conflict.
 	Delete(ctx context.Context, key Key, expected Revision) error
+	// CreateGuard writes a new guard.
+	CreateGuard(ctx context.Context) (Guard, error)
+	// PutGuarded writes the value like Put and removes the guard, in one step. The
+	// error is of kind Conflict, and nothing is written, if the key's revision is not
+	// the expected one or if the guard no longer exists.
+	PutGuarded(ctx context.Context, key Key, value []byte, expected Revision, guard Guard) error
 	// Watch returns the position of the last change under the prefix once its index
 	// is above that of after, or when wait has passed. With after zero it returns at
 	// once. A position of another epoch means that the store has returned from an
--- a/internal/cli/doccmd/doc.go
+++ b/internal/cli/doccmd/doc.go
@@ -148,7 +148,7 @@
 // adds to the error whether the change may have been written.
 func explainFailure(c *cli.Command, plan changes.Plan, err error) error {
 	var conflict *changes.ConflictError
-	if errors.As(err, &conflict) {
+	if errors.As(err, &conflict) && !conflict.ClaimLost {
 		fmt.Fprintf(stdout(c), "the other change:\n%s", conflict.Diff)
 	}
 	if store.IsKind(err, store.UnknownOutcome) {
--- a/internal/cli/doccmd/doccmd_test.go
+++ b/internal/cli/doccmd/doccmd_test.go
@@ -189,6 +189,64 @@
 	f.expect(ExitOK, "result=unchanged", "zone", "out", "north") // the retry finds the change written
 }
 
+// reissue lets the platform return from a copy that lacks the writes of the last
+// minute and writes a value so that it gets a revision that was given out before.
+func (f fixture) reissue(key store.Key, value string, revision store.Revision) {
+	f.NoErr(f.platform.Restore(time.Second))
+	for f.revision(key) < revision {
+		f.platform.Set(key, []byte(value))
+	}
+	f.Equal(f.revision(key), revision)
+}
+
+func (f fixture) revision(key store.Key) store.Revision {
+	entry, err := platform.NewMemory(f.platform, time.Second).Get(f.t.Context(), key)
+	f.NoErr(err)
+	return entry.Revision
+}
+
+// Guards against commands that overwrite another operator's change, or give one
+// address to two services, because the platform returns from an older copy between a
+// command's read and its write and gives out a revision again.
+func TestPlatformReturnsDuringACommand(t *testing.T) {
+	f := newFixture(t)
+	f.expect(ExitOK, "", "doc", "apply", f.file(zonesText))
+	f.expect(ExitOK, "", "doc", "apply", f.file(ordersText))
+	f.platform.AdvanceClock(time.Minute)
+	f.expect(ExitOK, "", "doc", "apply", f.file(strings.Replace(f.run("doc", "get", "orders").out, "2000", "1500", 1)))
+	read := f.run("doc", "get", "orders").out
+	theirs := strings.Replace(read, "1500", "500", 1)
+	key := store.DocumentKey("services/orders")
+	revision := f.revision(key)
+	f.platform.SetFaults(platform.Faults{BeforeWrite: func() { f.reissue(key, theirs, revision) }})
+	r := f.expect(ExitConflict, "the store has generation 2", "doc", "apply", f.file(strings.Replace(read, "1500", "1000", 1)))
+	f.True(strings.Contains(r.out, "the other change:") && strings.Contains(r.out, "connections: 500"))
+	f.Equal(f.run("doc", "get", "orders").out, theirs)
+
+	f.platform.AdvanceClock(time.Minute)
+	f.expect(ExitOK, "", "zone", "out", "south")
+	key = store.DocumentKey(document.ZonesKey)
+	revision = f.revision(key)
+	theirs = strings.Replace(f.run("doc", "get", "zones").out, "south", "west", 1)
+	f.platform.SetFaults(platform.Faults{BeforeWrite: func() { f.reissue(key, theirs, revision) }})
+	f.expect(ExitOK, "result=written", "zone", "out", "north")
+	r = f.expect(ExitOK, "north  out", "zone", "status")
+	f.True(strings.Contains(r.out, "west   out")) // the other change is not undone
+
+	f.platform.AdvanceClock(time.Minute)
+	billing := strings.NewReplacer("orders", "billing", "192.0.2.1", "192.0.2.2", "10.0.1.1", "10.0.3.1").Replace(ordersText)
+	same := strings.NewReplacer("orders", "archive", "192.0.2.1", "192.0.2.2", "10.0.1.1", "10.0.4.1").Replace(ordersText)
+	f.platform.SetFaults(platform.Faults{BeforeWrite: func() { // of the claim
+		f.platform.SetFaults(platform.Faults{BeforeWrite: func() { // of the document
+			f.NoErr(f.platform.Restore(time.Second))
+			f.expect(ExitOK, "result=written", "doc", "apply", f.file(same))
+		}})
+	}})
+	r = f.expect(ExitConflict, "lost the claim of this change", "doc", "apply", f.file(billing))
+	f.True(!strings.Contains(r.out, "the other change:"))
+	f.expect(ExitInput, "both have the address", "doc", "apply", f.file(billing))
+}
+
 func TestZone(t *testing.T) {
 	f := newFixture(t)
 	f.expect(ExitInput, "no zones document", "zone", "out", "north")
--- a/internal/cli/doccmd/exit.go
+++ b/internal/cli/doccmd/exit.go
@@ -19,7 +19,8 @@
 	ExitFailure = 1
 	// ExitInput means a bad document, argument or flag; nothing was written.
 	ExitInput = 2
-	// ExitConflict means that the document was changed concurrently.
+	// ExitConflict means that the document was changed concurrently, or that the store
+	// returned from an older copy during the change.
 	ExitConflict = 3
 	// ExitRefused means that another team owns the document.
 	ExitRefused = 4
--- a/internal/fakes/platform/faults.go
+++ b/internal/fakes/platform/faults.go
@@ -17,10 +17,13 @@
 	// Delay is the time by which the effect of each call is delayed.
 	Delay time.Duration
 	// LoseAnswers is the number of writes, from the next one on, that take effect
-	// but are not answered.
-	LoseAnswers int
+	// but are not answered. Those that only create or delete a guard don't count;
+	// LoseGuardAnswers is the number of these.
+	LoseAnswers      int
+	LoseGuardAnswers int
 	// BeforeWrite runs once, immediately before the next conditional write takes
-	// effect, so that a test can make a concurrent write first.
+	// effect, so that a test can make a concurrent write first. Writes that only
+	// create or delete a guard don't count.
 	BeforeWrite func()
 }
 
@@ -111,11 +114,12 @@
 
 // call counts the operation, injects the faults and runs effect while p.mu is
 // held.
-func (p *Platform) call(ctx context.Context, op store.Op, effect func()) outcome {
+func (p *Platform) call(ctx context.Context, op store.Op, key store.Key, effect func()) outcome {
+	ofGuard := key.HasPrefix(store.GuardsPrefix)
 	p.mu.Lock()
 	p.calls[op]++
 	faults := p.faults
-	if faults.BeforeWrite != nil && (op == store.OpPut || op == store.OpDelete) {
+	if faults.BeforeWrite != nil && !ofGuard && (op == store.OpPut || op == store.OpDelete) {
 		p.faults.BeforeWrite = nil
 	} else {
 		faults.BeforeWrite = nil
@@ -134,8 +138,12 @@
 	defer p.mu.Unlock()
 	p.endExpiredLeases()
 	effect()
-	if op.Writes() && p.faults.LoseAnswers > 0 {
-		p.faults.LoseAnswers--
+	remaining := &p.faults.LoseAnswers
+	if ofGuard {
+		remaining = &p.faults.LoseGuardAnswers
+	}
+	if op.Writes() && *remaining > 0 {
+		*remaining--
 		return unanswered
 	}
 	return answered
@@ -166,7 +174,7 @@
 		seen = p.readableView().clone()
 		changed = p.changed
 	}
-	if o := p.call(ctx, store.OpWatch, readView); o != answered {
+	if o := p.call(ctx, store.OpWatch, prefix, readView); o != answered {
 		return view{}, o
 	}
 	timer := time.NewTimer(wait)
--- a/internal/fakes/platform/memory.go
+++ b/internal/fakes/platform/memory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -29,7 +30,7 @@
 func (m *Memory) run(ctx context.Context, op store.Op, key store.Key, effect func()) error {
 	ctx, cancel := context.WithTimeout(ctx, m.timeout)
 	defer cancel()
-	return outcomeError(m.platform.call(ctx, op, effect), op, key)
+	return outcomeError(m.platform.call(ctx, op, key, effect), op, key)
 }
 
 func outcomeError(o outcome, op store.Op, key store.Key) error {
@@ -86,6 +87,31 @@
 	return conflictError(err, done, store.OpDelete, key)
 }
 
+// CreateGuard implements store.Store.
+func (m *Memory) CreateGuard(ctx context.Context) (store.Guard, error) {
+	guard := store.Guard{Key: store.GuardsPrefix + store.Key(rand.Text())}
+	err := m.run(ctx, store.OpCreateGuard, guard.Key, func() {
+		guard.Revision, _ = m.platform.transact([]txnOp{{Verb: verbCAS, Key: guard.Key}})
+	})
+	return guard, err
+}
+
+// PutGuarded implements store.Store.
+func (m *Memory) PutGuarded(ctx context.Context, key store.Key, value []byte, expected store.Revision, guard store.Guard) error {
+	if len(value) > store.MaxValueBytes {
+		return &store.Error{Op: store.OpPut, Key: key, Kind: store.Invalid, Cause: errors.New("value too long")}
+	}
+	failed := -1
+	err := m.run(ctx, store.OpPut, key, func() {
+		_, failed = m.platform.transact([]txnOp{
+			{Verb: verbCheckIndex, Key: guard.Key, Index: guard.Revision},
+			{Verb: verbDelete, Key: guard.Key},
+			{Verb: verbCAS, Key: key, Value: value, Index: expected},
+		})
+	})
+	return conflictError(err, failed < 0, store.OpPut, key)
+}
+
 func conflictError(err error, done bool, op store.Op, key store.Key) error {
 	if err == nil && !done {
 		return &store.Error{Op: op, Key: key, Kind: store.Conflict}
--- a/internal/fakes/platform/server.go
+++ b/internal/fakes/platform/server.go
@@ -23,6 +23,7 @@
 	s.mux.HandleFunc("GET /v1/kv/{key...}", s.read)
 	s.mux.HandleFunc("PUT /v1/kv/{key...}", s.put)
 	s.mux.HandleFunc("DELETE /v1/kv/{key...}", s.remove)
+	s.mux.HandleFunc("PUT /v1/txn", s.transact)
 	s.mux.HandleFunc("PUT /v1/session/create", s.createSession)
 	s.mux.HandleFunc("PUT /v1/session/renew/{id}", s.renewSession)
 	s.mux.HandleFunc("PUT /v1/session/destroy/{id}", s.destroySession)
@@ -74,9 +75,9 @@
 	case query.Has("index"):
 		seen, o = s.watch(r, key)
 	case query.Has("recurse"):
-		o = s.platform.call(r.Context(), store.OpList, func() { seen = s.platform.readableView().clone() })
+		o = s.platform.call(r.Context(), store.OpList, key, func() { seen = s.platform.readableView().clone() })
 	default:
-		o = s.platform.call(r.Context(), store.OpGet, func() { seen = s.platform.readableView().clone() })
+		o = s.platform.call(r.Context(), store.OpGet, key, func() { seen = s.platform.readableView().clone() })
 	}
 	if writeFailure(w, o) {
 		return
@@ -160,7 +161,7 @@
 		return
 	}
 	done := false
-	o := s.platform.call(r.Context(), store.OpPut, func() {
+	o := s.platform.call(r.Context(), store.OpPut, key, func() {
 		done = s.platform.put(key, value, store.Revision(revision))
 	})
 	if !writeFailure(w, o) {
@@ -172,7 +173,7 @@
 	id := store.LeaseID(r.URL.Query().Get("acquire"))
 	var kind store.Kind
 	var rejected bool
-	o := s.platform.call(r.Context(), store.OpAcquire, func() {
+	o := s.platform.call(r.Context(), store.OpAcquire, key, func() {
 		kind, rejected = s.platform.acquire(key, value, id)
 	})
 	if writeFailure(w, o) {
@@ -193,7 +194,7 @@
 		return
 	}
 	done := false
-	o := s.platform.call(r.Context(), store.OpDelete, func() {
+	o := s.platform.call(r.Context(), store.OpDelete, key, func() {
 		done = s.platform.remove(key, store.Revision(revision))
 	})
 	if !writeFailure(w, o) {
@@ -213,7 +214,7 @@
 		return
 	}
 	var id store.LeaseID
-	o := s.platform.call(r.Context(), store.OpCreateLease, func() { id = s.platform.createLease(ttl) })
+	o := s.platform.call(r.Context(), store.OpCreateLease, "", func() { id = s.platform.createLease(ttl) })
 	if !writeFailure(w, o) {
 		writeJSON(w, struct{ ID string }{string(id)})
 	}
@@ -222,7 +223,7 @@
 func (s *Server) renewSession(w http.ResponseWriter, r *http.Request) {
 	id := store.LeaseID(r.PathValue("id"))
 	renewed := false
-	o := s.platform.call(r.Context(), store.OpRenewLease, func() { renewed = s.platform.renewLease(id) })
+	o := s.platform.call(r.Context(), store.OpRenewLease, store.Key(id), func() { renewed = s.platform.renewLease(id) })
 	if writeFailure(w, o) {
 		return
 	}
@@ -235,7 +236,7 @@
 
 func (s *Server) destroySession(w http.ResponseWriter, r *http.Request) {
 	id := store.LeaseID(r.PathValue("id"))
-	o := s.platform.call(r.Context(), store.OpRevokeLease, func() { s.platform.endLease(id) })
+	o := s.platform.call(r.Context(), store.OpRevokeLease, store.Key(id), func() { s.platform.endLease(id) })
 	if !writeFailure(w, o) {
 		writeJSON(w, true)
 	}
--- a/transport/consul/client.go
+++ b/transport/consul/client.go
@@ -170,6 +170,8 @@
 	case result.status == http.StatusOK, result.status == http.StatusNotFound:
 	case result.status == http.StatusTooManyRequests:
 		return result, r.newError(store.Unavailable, statusError(result))
+	case result.status == http.StatusConflict:
+		return result, r.newError(conflictKind(body), statusError(result))
 	case result.status < http.StatusInternalServerError:
 		return result, r.newError(store.Invalid, statusError(result))
 	case bytes.Contains(body, []byte("invalid session")):
--- a/transport/consul/contract_test.go
+++ b/transport/consul/contract_test.go
@@ -59,6 +59,13 @@
 	return entry.Revision
 }
 
+func (f fixture) guard() store.Guard {
+	f.Helper()
+	guard, err := f.client.CreateGuard(f.ctx)
+	f.NoErr(err)
+	return guard
+}
+
 func (f fixture) lease() store.LeaseID {
 	f.Helper()
 	id, err := f.client.CreateLease(f.ctx, store.MinLeaseTTL)
@@ -406,6 +413,79 @@
 		f.NoErr(f.client.RenewLease(f.ctx, id))
 		f.fails(f.client.RenewLease(f.ctx, late), store.LeaseLost)
 	}},
+	{"a guarded write removes its guard", func(f fixture) {
+		guard := f.guard()
+		f.NoErr(f.client.PutGuarded(f.ctx, "a/1", []byte("new"), f.revision("a/1"), guard))
+		f.Equal(f.value("a/1"), "new")
+		_, err := f.client.Get(f.ctx, guard.Key)
+		f.fails(err, store.NotFound)
+		f.fails(f.client.PutGuarded(f.ctx, "a/1", []byte("again"), f.revision("a/1"), guard), store.Conflict)
+		f.Equal(f.value("a/1"), "new")
+	}},
+	{"a guarded write creates a key once", func(f fixture) {
+		f.NoErr(f.client.PutGuarded(f.ctx, "a/3", []byte("x"), 0, f.guard()))
+		f.fails(f.client.PutGuarded(f.ctx, "a/3", []byte("y"), 0, f.guard()), store.Conflict)
+		f.Equal(f.value("a/3"), "x")
+	}},
+	{"a guarded write of another revision changes nothing", func(f fixture) {
+		guard, revision := f.guard(), f.revision("a/1")
+		f.platform.Set("a/1", []byte("other"))
+		f.fails(f.client.PutGuarded(f.ctx, "a/1", []byte("mine"), revision, guard), store.Conflict)
+		f.Equal(f.value("a/1"), "other")
+		f.Equal(f.revision(guard.Key), guard.Revision)
+		f.NoErr(f.client.Delete(f.ctx, guard.Key, guard.Revision))
+	}},
+	{"guards differ and are newer than what was read before", func(f fixture) {
+		revision := f.revision("b/1")
+		first, second := f.guard(), f.guard()
+		f.True(first.Key != second.Key)
+		f.True(revision < first.Revision && first.Revision < second.Revision)
+	}},
+	{"a guarded write fails on a revision given out again", func(f fixture) {
+		f.platform.AdvanceClock(time.Minute)
+		f.platform.Set("a/1", []byte("read"))
+		revision, guard := f.revision("a/1"), f.guard()
+		f.NoErr(f.platform.Restore(time.Second))
+		f.platform.Set("a/1", []byte("reissued"))
+		f.Equal(f.revision("a/1"), revision)
+		f.fails(f.client.PutGuarded(f.ctx, "a/1", []byte("mine"), revision, guard), store.Conflict)
+		f.Equal(f.value("a/1"), "reissued")
+	}},
+	{"another guard does not stand for one that was lost", func(f fixture) {
+		f.platform.AdvanceClock(time.Minute)
+		guard := f.guard()
+		f.NoErr(f.platform.Restore(time.Second))
+		other := f.guard()
+		f.Equal(other.Revision, guard.Revision)
+		f.fails(f.client.PutGuarded(f.ctx, "a/1", []byte("mine"), f.revision("a/1"), guard), store.Conflict)
+		f.Equal(f.value("a/1"), "one")
+	}},
+	{"a guard that is older than the copy still holds", func(f fixture) {
+		revision, guard := f.revision("a/1"), f.guard()
+		f.platform.AdvanceClock(time.Minute)
+		f.platform.Set("a/2", []byte("lost"))
+		f.NoErr(f.platform.Restore(time.Second))
+		f.NoErr(f.client.PutGuarded(f.ctx, "a/1", []byte("mine"), revision, guard))
+		f.Equal(f.value("a/1"), "mine")
+	}},
+	{"a guarded write without a response may have taken effect", func(f fixture) {
+		revision, guard := f.revision("a/1"), f.guard()
+		f.platform.SetFaults(platform.Faults{LoseAnswers: 1})
+		f.fails(f.client.PutGuarded(f.ctx, "a/1", []byte("new"), revision, guard), store.UnknownOutcome)
+		f.Equal(f.value("a/1"), "new")
+		f.fails(f.client.PutGuarded(f.ctx, "a/1", []byte("new"), revision, guard), store.Conflict)
+	}},
+	{"a guard without a response may exist", func(f fixture) {
+		f.platform.SetFaults(platform.Faults{LoseGuardAnswers: 1})
+		_, err := f.client.CreateGuard(f.ctx)
+		f.fails(err, store.UnknownOutcome)
+		_, err = f.client.CreateGuard(f.ctx)
+		f.NoErr(err)
+	}},
+	{"rejects a guarded value that is too long", func(f fixture) {
+		value := []byte(strings.Repeat("x", store.MaxValueBytes+1))
+		f.fails(f.client.PutGuarded(f.ctx, "a/3", value, 0, f.guard()), store.Invalid)
+	}},
 	{"a lease excludes others until revoked", func(f fixture) {
 		first, second := f.lease(), f.lease()
 		f.NoErr(f.client.Acquire(f.ctx, "l", []byte("1"), first))
