--- /dev/null
+++ b/protocol/gossip/check.go
@@ -0,0 +1,104 @@
+package gossip
+
+import (
+	"time"
+	"unicode/utf8"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/jujubehaven/jujubehaven/coordination/store"
+)
+
+const (
+	// maxElements bounds each list of a message, and with maxMessageBytes what is
+	// allocated for a datagram: few compressed bytes can stand for a long list.
+	maxElements = 16 << 10
+	// maxFields bounds the fields of a message or a part of it, with room for those of
+	// later builds, which are ignored. maxNesting bounds the depth of its parts.
+	maxFields  = 64
+	maxNesting = 8
+	// maxAge bounds the age of a feed. Longer ones could overflow a time.
+	maxAge = 365 * 24 * time.Hour
+)
+
+// decMode accepts only the forms of CBOR that the encoder writes.
+var decMode = newDecMode()
+
+func newDecMode() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		IndefLength:      cbor.IndefLengthForbidden,
+		TagsMd:           cbor.TagsForbidden,
+		MaxArrayElements: maxElements,
+		MaxMapPairs:      maxFields,
+		MaxNestedLevels:  maxNesting,
+	}.DecMode()
+	if err != nil {
+		panic(err) // the options are constant
+	}
+	return mode
+}
+
+// check returns an error if the message is not one that a host sends.
+func (m *Message) check() error {
+	if m.From.Name == "" || m.From.Zone == "" || !m.From.Addr.IsValid() {
+		return errors.New("gossip: name, zone or address of the sender is missing")
+	}
+	if len(m.Relay) > maxRelays {
+		return errors.Newf("gossip: %d hosts to relay to exceed the limit of %d", len(m.Relay), maxRelays)
+	}
+	if n := max(len(m.Loads), len(m.KnownHosts), len(m.Answers)); n > maxElements {
+		return errors.Newf("gossip: list of %d elements exceeds the limit of %d", n, maxElements)
+	}
+	if m.Digest != nil && len(m.Digest.Loads) > maxElements {
+		return errors.Newf("gossip: digest of %d loads exceeds the limit of %d", len(m.Digest.Loads), maxElements)
+	}
+	carriesFeed := m.Kind == KindFeed || m.Kind == KindFetchReply
+	if carriesFeed != (m.Feed != nil) {
+		return errors.Newf("gossip: message of kind %q: feed missing or not expected", m.Kind)
+	}
+	if m.Feed == nil {
+		return nil
+	}
+	return errors.Wrap(m.Feed.check(), "gossip: feed")
+}
+
+func (f *Feed) check() error {
+	switch {
+	case f.End().Before(f.Start()):
+		return errors.Newf("position %v is after position %v", f.Start(), f.End())
+	case (f.FromEpoch == 0) != (f.Epoch == 0):
+		return errors.Newf("only one of the epochs %d and %d is named", f.FromEpoch, f.Epoch)
+	case f.AgeMS < 0 || f.AgeMS > maxAge.Milliseconds():
+		return errors.Newf("age of %d ms is not between 0 and %s", f.AgeMS, maxAge)
+	case f.Partial && len(f.Changes) > 0:
+		return errors.New("partial feed with changes")
+	case len(f.Changes) > maxElements:
+		return errors.Newf("%d changes exceed the limit of %d", len(f.Changes), maxElements)
+	}
+	for i := range f.Changes {
+		if key := f.Changes[i].Key; !validKey(key) {
+			return errors.Newf("change %d has the key %q", i, key)
+		}
+	}
+	return f.Operator.check()
+}
+
+func (s *OperatorState) check() error {
+	if s == nil {
+		return nil
+	}
+	if len(s.Keys) > maxElements {
+		return errors.Newf("%d keys exceed the limit of %d", len(s.Keys), maxElements)
+	}
+	for i, key := range s.Keys {
+		if !validKey(key) {
+			return errors.Newf("operator key %d is %q", i, key)
+		}
+	}
+	return nil
+}
+
+// validKey reports whether a key can be sent: CBOR has text in UTF-8 only.
+func validKey(key store.Key) bool { return key != "" && utf8.ValidString(string(key)) }
--- a/protocol/gossip/gossip.go
+++ b/protocol/gossip/gossip.go
@@ -21,8 +21,9 @@
 	// compressThreshold is the length in bytes above which a datagram is
 	// compressed. Shorter ones fit one packet of any usual network.
 	compressThreshold = 1200
-	// maxMessageBytes is the maximum size of a decompressed message.
-	maxMessageBytes = 4 << 20
+	// maxMessageBytes is the maximum size of a message before compression. A feed of
+	// 256 KB, which is what hosts keep of changes, fits several times.
+	maxMessageBytes = 1 << 20
 )
 
 // gzipMagic is the prefix of compressed datagrams. No CBOR message starts with
@@ -190,12 +191,18 @@
 }
 
 // Encode returns the datagram of a message. It fails if the datagram exceeds
-// MaxBytes.
+// MaxBytes or if Decode would not accept it.
 func Encode(m *Message) ([]byte, error) {
+	if err := m.check(); err != nil {
+		return nil, err
+	}
 	b, err := cbor.Marshal(m)
 	if err != nil {
 		return nil, errors.Wrap(err, "gossip")
 	}
+	if len(b) > maxMessageBytes {
+		return nil, errors.Newf("gossip: message of %d bytes exceeds the limit of %d bytes", len(b), maxMessageBytes)
+	}
 	if len(b) > compressThreshold {
 		b = compress(b)
 	}
@@ -225,24 +232,24 @@
 	return b, err
 }
 
-// Decode decodes a datagram. It fails if the name, zone or address of the sender
-// is missing.
+// Decode decodes a datagram. It fails if Encode would not write the message: if the
+// sender is not named, a feed contradicts itself or a bound is exceeded.
 func Decode(b []byte) (Message, error) {
 	var m Message
+	if len(b) > MaxBytes {
+		return Message{}, errors.Newf("gossip: datagram of %d bytes exceeds the limit of %d bytes", len(b), MaxBytes)
+	}
 	if bytes.HasPrefix(b, gzipMagic) {
 		var err error
 		if b, err = decompress(b); err != nil {
 			return Message{}, errors.Wrap(err, "gossip")
 		}
 	}
-	if err := cbor.Unmarshal(b, &m); err != nil {
+	if err := decMode.Unmarshal(b, &m); err != nil {
 		return Message{}, errors.Wrap(err, "gossip")
 	}
-	if m.From.Name == "" || m.From.Zone == "" || !m.From.Addr.IsValid() {
-		return Message{}, errors.New("gossip: name, zone or address of the sender is missing")
-	}
-	if len(m.Relay) > maxRelays {
-		return Message{}, errors.Newf("gossip: %d hosts to relay to exceed the limit of %d", len(m.Relay), maxRelays)
+	if err := m.check(); err != nil {
+		return Message{}, err
 	}
 	return m, nil
 }
