Send a zone's excess to zones that offer spare capacity

The hosts of a zone saw at targets of other zones only what they caused themselves, so a full target looked idle to them, and an opening left its zone only when the own targets were more than one load unit above it.

The readers of large zones now exchange summaries every 400 ms. A zone divides its spare capacity among the others by offers, and a zone whose demand exceeds 0.85 of its slots sends away the share of new flows that it is offered. docs/design/cross-zone.md has the decisions and what was ruled out. Off by default (balancing.cross_zone).

go test ./coordination/crosszone: over 60 histories with random demand, lost slots and, in a third of them, lost and delayed summaries, the requests sent to a zone exceed its offers by at most 0.082 of the senders' demand, where a round's step is 0.1; in 20 runs of 60 s of waves with swings of 0.15 and 0.55 the share turns no more often than the demand. A summary of 20 services has 352 bytes.

--- a/coordination/steering/cost.go
+++ b/coordination/steering/cost.go
@@ -48,7 +48,7 @@
 func (s *Steering) cost(now time.Duration, t *target, hash uint64) float64 {
 	cost := s.load(now, t) + t.fastAnswerPenalty(now)
 	if t.entry.Zone != s.cfg.Zone {
-		cost += otherZonePenalty
+		cost += t.otherZoneCost(now, hash)
 	}
 	if t.path.unreachable || !t.health.usable(now) {
 		cost += silentPenalty
--- a/coordination/steering/loads.go
+++ b/coordination/steering/loads.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/jujubehaven/jujubehaven/coordination/crosszone"
 	"github.com/jujubehaven/jujubehaven/coordination/fleet"
 )
 
@@ -45,6 +46,10 @@
 	// zone last answered this host.
 	QueriedZones []string
 	ZoneAnswers  map[string]time.Duration
+	// Zones holds the valid summaries of all zones at the time At, this host's own
+	// included. It is empty without Balancing.CrossZone and in a small zone.
+	Zones []crosszone.Zone
+	At    time.Duration
 }
 
 // SetPeerLoads replaces the loads reported by the other hosts.
@@ -56,6 +61,7 @@
 		t.peersFast = load.FastShare
 	}
 	s.judgePools(s.lastSweep) // shares change slowly
+	s.setZones(l)
 }
 
 // TargetStats is this host's data about a target, for metrics and for other
--- a/coordination/steering/place.go
+++ b/coordination/steering/place.go
@@ -14,10 +14,14 @@
 	if pl == nil {
 		return nil, CauseNoTarget
 	}
+	if t := s.placeAway(now, pl, p, former); t != nil {
+		return t, CausePlacedAway
+	}
 	best, cause := s.lowestCost(now, pl, p, former)
 	if best == nil {
 		return nil, cause
 	}
+	best = s.spreadOverflow(now, pl, p, best, former)
 	s.countColdOpening(now, best, pl.limits)
 	if best.entry.Zone != s.cfg.Zone {
 		return best, CausePlacedAway
@@ -44,7 +48,7 @@
 			cause = max(cause, CauseColdLimit)
 			continue
 		}
-		if t.queuedPerSlot() >= limit {
+		if t.queuedPerSlot()+t.remoteLoad(now) >= limit {
 			cause = queueFullCause(p.Copy)
 			continue
 		}
--- a/coordination/steering/steering.go
+++ b/coordination/steering/steering.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/jujubehaven/jujubehaven/coordination/crosszone"
 	"github.com/jujubehaven/jujubehaven/coordination/fleet"
 	"github.com/jujubehaven/jujubehaven/protocol/packet"
 	"github.com/jujubehaven/jujubehaven/protocol/verdict"
@@ -26,6 +27,9 @@
 	// ZoneEvents is called when a zone becomes unreachable or reachable again; it
 	// may be nil.
 	ZoneEvents func(ZoneEvent)
+	// ShareEvents is called when the share of a service's flows that is sent to other
+	// zones has changed; it may be nil.
+	ShareEvents func(ShareEvent)
 	// CompleteTo returns the time up to which this host has read every target
 	// that was written to the store, and false if that is unknown. It may be nil.
 	CompleteTo func() (time.Duration, bool)
@@ -80,6 +84,7 @@
 	// peerLoads is the last report of the other hosts' loads, nil if there was
 	// none.
 	peerLoads *PeerLoads
+	cross     crossZone
 }
 
 // Counts are totals since the start.
@@ -105,6 +110,7 @@
 		paths:      map[string]*zonePath{},
 		flows:      map[packet.Flow]*flow{},
 		unknown:    map[Token]time.Duration{},
+		cross:      crossZone{shares: crosszone.NewShares(cfg.Zone)},
 	}
 }
 
--- a/coordination/steering/target.go
+++ b/coordination/steering/target.go
@@ -30,7 +30,10 @@
 	peersUnanswered int
 	// peersFast is the largest share of too fast answers that another host of the
 	// zone reports.
-	peersFast   float64
+	peersFast float64
+	// remote is the target's zone as a destination, nil if it is this host's own zone or
+	// its summary is not known.
+	remote      *remoteZone
 	health      health
 	fastAnswers fastAnswerShare
 	// avoided is set while the target is avoided for its too fast answers.
--- a/internal/tokenhost/host.go
+++ b/internal/tokenhost/host.go
@@ -116,7 +116,7 @@
 	}
 	var err error
 	h.exchange, err = gossip.New(gossip.Config{
-		Listen: s.Control, Seeds: seedAddrs(s), Local: local{h}, Clock: h.clock, Log: h.log,
+		Listen: s.Control, Seeds: seedAddrs(s), Local: local{h}, Clock: h.clock, Log: h.log, CrossZone: s.Balancing.CrossZone,
 		Self: wire.Host{
 			Name: s.Host, Zone: s.Zone, Addr: s.Control, Started: h.start.UnixNano(),
 			Protocol: wire.Protocol, LinkMbps: s.LinkMbps,
--- a/internal/tokenhost/local.go
+++ b/internal/tokenhost/local.go
@@ -1,6 +1,7 @@
 package tokenhost
 
 import (
+	"github.com/jujubehaven/jujubehaven/coordination/crosszone"
 	"github.com/jujubehaven/jujubehaven/coordination/peers"
 	"github.com/jujubehaven/jujubehaven/coordination/steering"
 	"github.com/jujubehaven/jujubehaven/coordination/store"
@@ -40,6 +41,9 @@
 // HandleLoads implements gossip.Local.
 func (l local) HandleLoads(p *steering.PeerLoads) { l.h.packets.SetPeerLoads(p) }
 
+// ZoneLoads implements gossip.Local.
+func (l local) ZoneLoads() []crosszone.Load { return l.h.packets.Stats().ZoneLoads }
+
 // maxReportedLoads limits the targets in one heartbeat.
 const maxReportedLoads = 64
 
--- a/internal/zonemodel/host_test.go
+++ b/internal/zonemodel/host_test.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/jujubehaven/jujubehaven/coordination/crosszone"
 	"github.com/jujubehaven/jujubehaven/coordination/fleet"
 	"github.com/jujubehaven/jujubehaven/coordination/steering"
 	"github.com/jujubehaven/jujubehaven/coordination/store"
@@ -122,6 +123,7 @@
 func (local) Leaving() bool                                  { return false }
 func (local) UnreachableZones() []string                     { return nil }
 func (local) Loads() ([]wire.TargetLoad, []uint32)           { return nil, nil }
+func (local) ZoneLoads() []crosszone.Load                    { return nil }
 func (l local) HandlePeerStore(answers bool)                 { l.h.follower.SetPeerStore(answers) }
 func (l local) HandleReader()                                { l.h.follower.Wake() }
 func (local) HandleLoads(*steering.PeerLoads)                {}
--- a/protocol/gossip/gossip.go
+++ b/protocol/gossip/gossip.go
@@ -50,6 +50,9 @@
 	// is the reply, which carries a feed.
 	KindFetch      Kind = "fetch"
 	KindFetchReply Kind = "fetched"
+	// KindSummary tells the reader of another zone what the sender's zone can take and
+	// what its callers ask for. A host that is not its zone's reader forwards it.
+	KindSummary Kind = "summary"
 )
 
 // Protocol is the version of the messages that this build exchanges. Builds of
@@ -162,6 +165,9 @@
 	// Loads holds the loads on the targets, summed over the hosts; FastPercent is
 	// the maximum.
 	Loads []TargetLoad `cbor:"3,keyasint,omitempty"`
+	// Zones holds the latest summaries of all zones, the sender's included. Only some
+	// digests carry them.
+	Zones []ZoneSummary `cbor:"5,keyasint,omitempty"`
 }
 
 // Message is one datagram.
@@ -187,6 +193,8 @@
 	Relay []netip.AddrPort `cbor:"10,keyasint,omitempty"`
 	// AfterEpoch is the epoch of After.
 	AfterEpoch store.Epoch `cbor:"12,keyasint,omitempty"`
+	// Summary is part of a summary. Its incarnation is the sender's.
+	Summary *Summary `cbor:"13,keyasint,omitempty"`
 }
 
 // Encode returns the datagram of a message. It fails if the datagram exceeds
--- a/protocol/gossip/gossip_test.go
+++ b/protocol/gossip/gossip_test.go
@@ -66,6 +66,12 @@
 	b, _ := Encode(testMessage())
 	f.Add(b)
 	f.Add(compress(b))
+	b, _ = Encode(testSummary(3, 9))
+	f.Add(b)
+	digest := testMessage()
+	digest.Kind, digest.Digest = KindDigest, &Digest{Hosts: 12, Zones: []ZoneSummary{{Zone: "b", AgeMS: 300, Services: testSummary(2, 5).Summary.Services}}}
+	b, _ = Encode(digest)
+	f.Add(b)
 	f.Fuzz(func(t *testing.T, b []byte) {
 		m, err := Decode(b)
 		if err == nil && m.From.Name == "" {
--- a/transport/direct/direct.go
+++ b/transport/direct/direct.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/jujubehaven/jujubehaven/coordination/crosszone"
 	"github.com/jujubehaven/jujubehaven/coordination/fleet"
 	"github.com/jujubehaven/jujubehaven/coordination/steering"
 	"github.com/jujubehaven/jujubehaven/protocol/packet"
@@ -76,6 +77,9 @@
 	KnownTargets int
 	// UnreachableZones are the zones whose targets this host does not reach.
 	UnreachableZones []string
+	// ZoneLoads and Plans are empty without steering.Balancing.CrossZone.
+	ZoneLoads []crosszone.Load
+	Plans     []steering.ServicePlan
 }
 
 // Server runs the packet path of one host.
@@ -267,6 +271,8 @@
 	stats.UnreachableZones = s.cfg.Steering.Unreachable()
 	stats.Flows = uint64(s.cfg.Steering.NumFlows())
 	stats.Targets = s.cfg.Steering.TargetStats(now)
+	stats.ZoneLoads = s.cfg.Steering.ZoneLoads(now)
+	stats.Plans = s.cfg.Steering.ServicePlans()
 	s.stats.Store(&stats)
 }
 
--- a/transport/gossip/gossip.go
+++ b/transport/gossip/gossip.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/jujubehaven/jujubehaven/coordination/crosszone"
 	"github.com/jujubehaven/jujubehaven/coordination/peers"
 	"github.com/jujubehaven/jujubehaven/coordination/steering"
 	"github.com/jujubehaven/jujubehaven/coordination/store"
@@ -41,6 +42,10 @@
 	// Loads returns this host's load on each target, and the tokens of the targets
 	// that have just answered it.
 	Loads() (loads []gossip.TargetLoad, answers []uint32)
+	// ZoneLoads returns the loads that the hosts of this host's zone place on each zone
+	// as far as this host knows them, and the slots of its zone. It is called only with
+	// Config.CrossZone.
+	ZoneLoads() []crosszone.Load
 	// HandleFeed receives changes that another host read from the store; fetched is
 	// set if they are the reply to a fetch.
 	HandleFeed(f *gossip.Feed, fetched bool)
@@ -77,6 +82,9 @@
 	// Seeds are the addresses of hosts that are queried for the other hosts.
 	Seeds []netip.AddrPort
 	Local Local
+	// CrossZone lets the host exchange summaries with other zones if its zone is a large
+	// one.
+	CrossZone bool
 	// Clock returns the time since a fixed origin.
 	Clock func() time.Duration
 	Log   zerolog.Logger
@@ -106,6 +114,7 @@
 	mu    sync.Mutex
 	seeds []netip.AddrPort
 	peers *peers.Peers
+	cross crossZone
 	reads bool
 	hosts int
 }
@@ -119,7 +128,9 @@
 			return nil, errors.Wrap(err, "control")
 		}
 	}
-	return &Exchange{cfg: cfg, conn: conn, seeds: cfg.Seeds, peers: peers.New(cfg.Self), reads: true, hosts: 1}, nil
+	return &Exchange{
+		cfg: cfg, conn: conn, seeds: cfg.Seeds, peers: peers.New(cfg.Self), cross: newCrossZone(cfg.Self.Zone), reads: true, hosts: 1,
+	}, nil
 }
 
 // Close closes the socket, which ends Serve.
@@ -159,7 +170,11 @@
 	if m.Kind == gossip.KindHello {
 		known = e.peers.KnownHosts(now, m.From.Zone)
 	}
+	forwarded, reader := e.receiveSummaries(now, m)
 	e.mu.Unlock()
+	if forwarded != nil {
+		e.send(forwarded, reader.Addr)
+	}
 	if lostStore {
 		e.cfg.Local.HandlePeerStore(false) // a feed shows that the store answers again
 	}
--- a/transport/gossip/gossip_test.go
+++ b/transport/gossip/gossip_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
 
+	"github.com/jujubehaven/jujubehaven/coordination/crosszone"
 	"github.com/jujubehaven/jujubehaven/coordination/steering"
 	"github.com/jujubehaven/jujubehaven/coordination/store"
 	"github.com/jujubehaven/jujubehaven/internal/fakes/buffer"
@@ -30,6 +31,8 @@
 	peerLoads *steering.PeerLoads
 	// unreachable is what UnreachableZones returns.
 	unreachable []string
+	// zoneLoads is what ZoneLoads returns.
+	zoneLoads []crosszone.Load
 	// changes is what ChangesSince returns.
 	changes *gossip.Feed
 	// readerStore holds what HandlePeerStore received.
@@ -47,6 +50,12 @@
 
 func (s *localStub) HandleReader() {}
 
+func (s *localStub) ZoneLoads() []crosszone.Load {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.zoneLoads
+}
+
 func (s *localStub) HandlePeerStore(answers bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/transport/gossip/round.go
+++ b/transport/gossip/round.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/jujubehaven/jujubehaven/coordination/crosszone"
 	"github.com/jujubehaven/jujubehaven/coordination/peers"
 	"github.com/jujubehaven/jujubehaven/coordination/steering"
 	"github.com/jujubehaven/jujubehaven/protocol/gossip"
@@ -33,6 +34,8 @@
 	// digest is sent to the groups unless it is nil.
 	digest *gossip.Digest
 	groups []peers.Group
+	// summaries are sent to other zones.
+	summaries []summaryMessage
 	// loads is what the other hosts reported.
 	loads *steering.PeerLoads
 	// reads reports whether this host reads the store and hosts is the number of
@@ -53,7 +56,11 @@
 	if err != nil {
 		e.cfg.Log.Error().Str("event", "gossip_failed").Str("kind", string(gossip.KindHeartbeat)).Err(err).Send()
 	}
-	e.planRound(&r, len(heartbeat), loads, targetAnswers)
+	var zoneLoads []crosszone.Load
+	if e.cfg.CrossZone {
+		zoneLoads = e.cfg.Local.ZoneLoads()
+	}
+	e.planRound(&r, len(heartbeat), loads, targetAnswers, zoneLoads)
 	e.reportChanges(&r)
 	e.cfg.Local.HandleLoads(r.loads)
 	e.send(&gossip.Message{Kind: gossip.KindHello, From: e.cfg.Self}, r.helloTo...)
@@ -65,11 +72,12 @@
 			Kind: gossip.KindDigest, From: e.cfg.Self, StoreAnswers: r.storeAnswers, Leaving: r.leaving, Digest: r.digest,
 		}, r.groups)
 	}
+	e.sendSummaries(&r)
 }
 
 // planRound decides whom the round's messages go to and whether this host reads
 // the store.
-func (e *Exchange) planRound(r *round, heartbeatBytes int, loads []gossip.TargetLoad, targetAnswers []uint32) {
+func (e *Exchange) planRound(r *round, heartbeatBytes int, loads []gossip.TargetLoad, targetAnswers []uint32, zoneLoads []crosszone.Load) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.cfg.Clock()
@@ -88,6 +96,7 @@
 		Hosts: r.hosts, Settled: e.peers.Settled(now), Targets: steeringLoads(e.peers.Loads(now)),
 		QueriedZones: queried, ZoneAnswers: e.peers.ZoneAnswers(),
 	}
+	e.planSummaries(now, r, zoneLoads)
 }
 
 // steeringLoads converts the loads of other hosts.
