--- a/coordination/steering/place.go
+++ b/coordination/steering/place.go
@@ -14,10 +14,14 @@
 	if pl == nil {
 		return nil, CauseNoTarget
 	}
+	if t := s.placeAway(now, pl, p, former); t != nil {
+		return t, CausePlacedAway
+	}
 	best, cause := s.lowestCost(now, pl, p, r, former)
 	if best == nil {
 		return nil, cause
 	}
+	best = s.spreadOverflow(now, pl, p, best, former)
 	s.countColdOpening(now, best, pl.limits)
 	s.countBorrowed(now, best)
 	if best.entry.Zone != s.cfg.Zone {
@@ -51,7 +55,7 @@
 			continue
 		}
 		correction := own.loadCorrection(t)
-		if t.queuedPerSlot()+correction >= limit {
+		if t.queuedPerSlot()+t.remoteLoad(now)+correction >= limit {
 			cause = queueFullCause(p.Copy)
 			continue
 		}
--- a/coordination/steering/target.go
+++ b/coordination/steering/target.go
@@ -32,7 +32,10 @@
 	// zone reports.
 	peersFast float64
 	// held is the number of the target's slots that this host holds.
-	held        int
+	held int
+	// remote is the target's zone as a destination, nil if it is this host's own zone or
+	// its summary is not known.
+	remote      *remoteZone
 	health      health
 	fastAnswers fastAnswerShare
 	// avoided is set while the target is avoided for its too fast answers.
--- a/protocol/gossip/gossip.go
+++ b/protocol/gossip/gossip.go
@@ -51,6 +51,9 @@
 	// is the reply, which carries a feed.
 	KindFetch      Kind = "fetch"
 	KindFetchReply Kind = "fetched"
+	// KindSummary tells the reader of another zone what the sender's zone can take and
+	// what its callers ask for. A host that is not its zone's reader forwards it.
+	KindSummary Kind = "summary"
 )
 
 // Protocol is the version of the messages that this build exchanges. Builds of
@@ -166,6 +169,9 @@
 	// Allotments holds the slots of the hosts that get this copy of the digest, nil
 	// if the sender allots none.
 	Allotments *Allotments `cbor:"4,keyasint,omitempty"`
+	// Zones holds the latest summaries of all zones, the sender's included. Only some
+	// digests carry them.
+	Zones []ZoneSummary `cbor:"5,keyasint,omitempty"`
 }
 
 // Message is one datagram.
@@ -194,6 +200,8 @@
 	// Holdings is part of a heartbeat in a large zone, nil if the sender uses no
 	// allotments.
 	Holdings *Holdings `cbor:"15,keyasint,omitempty"`
+	// Summary is part of a summary. Its incarnation is the sender's.
+	Summary *Summary `cbor:"13,keyasint,omitempty"`
 }
 
 // Encode returns the datagram of a message. It fails if the datagram exceeds
--- a/transport/gossip/gossip.go
+++ b/transport/gossip/gossip.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/jujubehaven/jujubehaven/coordination/allotment"
+	"github.com/jujubehaven/jujubehaven/coordination/crosszone"
 	"github.com/jujubehaven/jujubehaven/coordination/peers"
 	"github.com/jujubehaven/jujubehaven/coordination/steering"
 	"github.com/jujubehaven/jujubehaven/coordination/store"
@@ -42,6 +43,10 @@
 	// Loads returns this host's load on each target, and the tokens of the targets
 	// that have just answered it.
 	Loads() (loads []gossip.TargetLoad, answers []uint32)
+	// ZoneLoads returns the loads that the hosts of this host's zone place on each zone
+	// as far as this host knows them, and the slots of its zone. It is called only with
+	// Config.CrossZone.
+	ZoneLoads() []crosszone.Load
 	// HandleFeed receives changes that another host read from the store; fetched is
 	// set if they are the reply to a fetch.
 	HandleFeed(f *gossip.Feed, fetched bool)
@@ -81,6 +86,9 @@
 	// Targets returns the targets of this host's zone, for their allotment to the
 	// hosts. It is nil if the host uses no allotments.
 	Targets func() []allotment.Target
+	// CrossZone lets the host exchange summaries with other zones if its zone is a large
+	// one.
+	CrossZone bool
 	// Clock returns the time since a fixed origin.
 	Clock func() time.Duration
 	Log   zerolog.Logger
@@ -110,6 +118,7 @@
 	mu    sync.Mutex
 	seeds []netip.AddrPort
 	peers *peers.Peers
+	cross crossZone
 	reads bool
 	hosts int
 	// allotted is set while this host's share of the slots is in force.
@@ -125,7 +134,9 @@
 			return nil, errors.Wrap(err, "control")
 		}
 	}
-	return &Exchange{cfg: cfg, conn: conn, seeds: cfg.Seeds, peers: peers.New(cfg.Self), reads: true, hosts: 1}, nil
+	return &Exchange{
+		cfg: cfg, conn: conn, seeds: cfg.Seeds, peers: peers.New(cfg.Self), cross: newCrossZone(cfg.Self.Zone), reads: true, hosts: 1,
+	}, nil
 }
 
 // Close closes the socket, which ends Serve.
@@ -165,7 +176,11 @@
 	if m.Kind == gossip.KindHello {
 		known = e.peers.KnownHosts(now, m.From.Zone)
 	}
+	forwarded, reader := e.receiveSummaries(now, m)
 	e.mu.Unlock()
+	if forwarded != nil {
+		e.send(forwarded, reader.Addr)
+	}
 	if lostStore {
 		e.cfg.Local.HandlePeerStore(false) // a feed shows that the store answers again
 	}
--- a/transport/gossip/round.go
+++ b/transport/gossip/round.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/jujubehaven/jujubehaven/coordination/crosszone"
 	"github.com/jujubehaven/jujubehaven/coordination/peers"
 	"github.com/jujubehaven/jujubehaven/coordination/steering"
 	"github.com/jujubehaven/jujubehaven/protocol/gossip"
@@ -38,6 +39,8 @@
 	// allotted and prevAllotted report whether this host's share of the slots is in
 	// force and was in the last round.
 	allotted, prevAllotted bool
+	// summaries are sent to other zones.
+	summaries []summaryMessage
 	// loads is what the other hosts reported.
 	loads *steering.PeerLoads
 	// reads reports whether this host reads the store and hosts is the number of
@@ -59,7 +62,11 @@
 	if err != nil {
 		e.cfg.Log.Error().Str("event", "gossip_failed").Str("kind", string(gossip.KindHeartbeat)).Err(err).Send()
 	}
-	e.planRound(&r, len(heartbeat), loads, targetAnswers)
+	var zoneLoads []crosszone.Load
+	if e.cfg.CrossZone {
+		zoneLoads = e.cfg.Local.ZoneLoads()
+	}
+	e.planRound(&r, len(heartbeat), loads, targetAnswers, zoneLoads)
 	e.reportChanges(&r)
 	e.cfg.Local.HandleLoads(r.loads)
 	e.send(&gossip.Message{Kind: gossip.KindHello, From: e.cfg.Self}, r.helloTo...)
@@ -69,6 +76,7 @@
 	if r.digest != nil {
 		e.sendDigest(&r)
 	}
+	e.sendSummaries(&r)
 }
 
 // sendDigest sends the digest to the heads of the groups, each with the slots of its
@@ -87,7 +95,7 @@
 
 // planRound decides whom the round's messages go to and whether this host reads
 // the store.
-func (e *Exchange) planRound(r *round, heartbeatBytes int, loads []gossip.TargetLoad, targetAnswers []uint32) {
+func (e *Exchange) planRound(r *round, heartbeatBytes int, loads []gossip.TargetLoad, targetAnswers []uint32, zoneLoads []crosszone.Load) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.cfg.Clock()
@@ -107,6 +115,7 @@
 		Hosts: r.hosts, Settled: e.peers.Settled(now), Targets: steeringLoads(e.peers.Loads(now)),
 		QueriedZones: queried, ZoneAnswers: e.peers.ZoneAnswers(), Share: e.peers.Share(),
 	}
+	e.planSummaries(now, r, zoneLoads)
 }
 
 // steeringLoads converts the loads of other hosts.
