--- a/coordination/allotment/allotter.go
+++ b/coordination/allotment/allotter.go
@@ -24,8 +24,8 @@
 
 const (
 	// smoothing is the time constant of the average of a host's demand: a step of
-	// demand is followed to 86% within a second.
-	smoothing = 500 * time.Millisecond
+	// demand is followed to 86% within 0.8 s, and the moves of slots take 0.4 s more.
+	smoothing = 400 * time.Millisecond
 	// moveMargin sets from which difference of two hosts' surpluses a slot moves
 	// between them: 1 slot, below which a move gains nothing, and moveMargin times
 	// the root of the mean number of slots, for the random part of the demand. In the
@@ -35,6 +35,9 @@
 	// although its former holder has not confirmed it: the holder's last table with
 	// the slot has expired by then.
 	confirmTimeout = Lifetime + 200*time.Millisecond
+	// slotsPerJoin is the number of a service's slots for each of which, begun or
+	// whole, a pair of shared targets is joined in a round.
+	slotsPerJoin = 100
 	// idleWeight is the weight of a host without requests, in requests: its next
 	// opening.
 	idleWeight = 0.25
@@ -73,19 +76,22 @@
 	holders []*host
 	// revoked holds the slots that were taken from hosts that may not know yet.
 	revoked []revocation
+	// reserved holds the hosts for which slots were taken that are free now.
+	reserved []*host
 }
 
 // revocation is a slot that was taken from a host at a time; the table with the
-// sequence number seq is the first one without it.
+// sequence number seq is the first one without it. The host to gets it next; it is
+// nil if that is open.
 type revocation struct {
-	from *host
-	seq  uint64
-	at   time.Duration
+	from, to *host
+	seq      uint64
+	at       time.Duration
 }
 
 // free returns the number of slots that can be allotted.
 func (t *target) free() int {
-	return max(t.capacity()-len(t.holders)-len(t.revoked), 0)
+	return max(t.capacity()-len(t.holders)-len(t.revoked)-len(t.reserved), 0)
 }
 
 // heldBy returns the number of slots that a host holds.
@@ -149,6 +155,11 @@
 	for _, t := range a.targets {
 		t.holders = slices.DeleteFunc(t.holders, gone)
 		t.revoked = slices.DeleteFunc(t.revoked, func(r revocation) bool { return gone(r.from) })
+		for i := range t.revoked {
+			if to := t.revoked[i].to; to != nil && gone(to) {
+				t.revoked[i].to = nil
+			}
+		}
 	}
 }
 
@@ -202,12 +213,19 @@
 }
 
 // endRevocations frees the slots whose former holders have received a table without
-// them, or whose last table with them has expired.
+// them, or whose last table with them has expired, or reserves them for their next
+// holders.
 func (a *Allotter) endRevocations(now time.Duration) {
 	for _, t := range a.targets {
+		var next []*host
 		t.revoked = slices.DeleteFunc(t.revoked, func(r revocation) bool {
-			return r.from.seq >= r.seq || now >= r.at+confirmTimeout
+			ended := r.from.seq >= r.seq || now >= r.at+confirmTimeout
+			if ended && r.to != nil {
+				next = append(next, r.to)
+			}
+			return ended
 		})
+		t.reserved = next[:min(len(next), t.free())]
 	}
 }
 
@@ -248,14 +266,14 @@
 func (a *Allotter) shrink(g *group) {
 	for _, t := range g.targets {
 		for len(t.holders) > t.capacity() {
-			a.revoke(t, len(t.holders)-1)
+			a.revoke(t, len(t.holders)-1, nil)
 		}
 	}
 }
 
-// revoke takes a slot from its holder.
-func (a *Allotter) revoke(t *target, slot int) {
-	t.revoked = append(t.revoked, revocation{from: t.holders[slot], seq: a.seq, at: a.updated})
+// revoke takes a slot from its holder for another host, or for none.
+func (a *Allotter) revoke(t *target, slot int, to *host) {
+	t.revoked = append(t.revoked, revocation{from: t.holders[slot], to: to, seq: a.seq, at: a.updated})
 	t.holders = slices.Delete(t.holders, slot, slot+1)
 }
 
@@ -263,22 +281,16 @@
 // changes as possible: free slots go to the hosts that lack most, and further ones
 // move only if two hosts differ much.
 func (a *Allotter) allot(g *group, hosts []*host) {
-	slots, pending := 0, 0
 	for _, h := range hosts {
-		h.held = 0
-	}
-	for _, t := range g.targets {
-		slots += t.capacity()
-		pending += min(len(t.revoked), max(t.capacity()-len(t.holders), 0))
-		for _, h := range t.holders {
-			h.held++
-		}
+		h.held, h.planned = 0, 0
 	}
+	slots, pending := g.count()
 	if slots == 0 || len(hosts) == 0 {
 		return
 	}
 	setQuotas(g.service, slots, hosts)
 	threshold := 1 + moveMargin*math.Sqrt(float64(slots)/float64(len(hosts)))
+	g.giveReserved(hosts, threshold)
 	for {
 		h := neediest(hosts)
 		t := g.bestFree(h)
@@ -299,43 +311,95 @@
 			break
 		}
 		t, slot := g.bestTaken(from, to)
-		a.revoke(t, slot)
+		a.revoke(t, slot, to)
 		from.held--
 		from.planned--
 		to.planned++
 	}
-	a.join(g)
+	for range 1 + slots/slotsPerJoin {
+		a.join(g)
+	}
+}
+
+// giveReserved gives the reserved slots to the hosts that they were taken for, or to
+// those that need them more by now.
+func (g *group) giveReserved(hosts []*host, threshold float64) {
+	for _, t := range g.targets {
+		for _, h := range t.reserved {
+			if n := neediest(hosts); h.surplus()-n.surplus() > threshold {
+				h.planned--
+				n.planned++
+				h = n
+			}
+			t.holders = append(t.holders, h)
+			h.held++
+		}
+		t.reserved = nil
+	}
 }
 
-// join takes back two slots if a host shares two targets of the group with others, so
-// that it holds one of them alone when they are allotted again. Without it, moves of
+// count returns the number of a group's slots and of those that will be free. It
+// counts what the hosts hold and are about to get.
+func (g *group) count() (slots, pending int) {
+	for _, t := range g.targets {
+		slots += t.capacity()
+		for _, h := range t.holders {
+			h.held++
+			h.planned++
+		}
+		for _, h := range t.reserved {
+			h.planned++
+		}
+		left := max(t.capacity()-len(t.holders)-len(t.reserved), 0)
+		for _, r := range t.revoked[:min(len(t.revoked), left)] {
+			if r.to != nil {
+				r.to.planned++
+			} else {
+				pending++
+			}
+		}
+	}
+	return slots, pending
+}
+
+// join exchanges two slots between two hosts if one shares two targets of the group
+// with others, so that it holds more of one of them. Without it, moves of
 // single slots leave two fifths of the slots at shared targets within 20 s, whose
 // queues none of their holders knows.
 func (a *Allotter) join(g *group) {
 	shared := map[*host]*target{}
 	for _, t := range g.targets {
-		if len(t.revoked) > 0 || len(t.holders) < 2 {
+		if len(t.revoked) > 0 || len(t.holders) < 2 || t.heldBy(t.holders[0]) == len(t.holders) {
 			continue
 		}
 		for _, h := range t.holders {
-			other := slices.IndexFunc(t.holders, func(o *host) bool { return o != h })
-			if other < 0 {
-				continue
-			}
 			first := shared[h]
 			if first == nil {
 				shared[h] = t
 			}
-			if first == nil || first == t {
-				continue
+			if first != nil && first != t && (a.exchange(h, t, first) || a.exchange(h, first, t)) {
+				return
 			}
-			a.revoke(t, other)
-			a.revoke(first, slices.Index(first.holders, h))
-			return
 		}
 	}
 }
 
+// exchange takes one slot of the target more from another host and one of the target
+// less from a host, if that makes the sum of the squares of what hosts hold of each
+// target larger, so that joining ends. It reports whether it did.
+func (a *Allotter) exchange(h *host, more, less *target) bool {
+	other := slices.IndexFunc(more.holders, func(o *host) bool {
+		return o != h && more.heldBy(h) >= more.heldBy(o)+less.heldBy(h)-1
+	})
+	if other < 0 {
+		return false
+	}
+	from := more.holders[other]
+	a.revoke(more, other, h)
+	a.revoke(less, slices.Index(less.holders, h), from)
+	return true
+}
+
 // setQuotas sets how many of a group's slots each host should hold. What exceeds one
 // slot for each host is divided by demand and its square root, as the variation of a
 // host's demand grows with the root.
@@ -353,7 +417,6 @@
 		base = 1
 	}
 	for _, h := range hosts {
-		h.planned = h.held
 		h.quota = base + (float64(slots)-base*float64(len(hosts)))*weight(h)/sum
 	}
 }
--- a/coordination/peers/allotments.go
+++ b/coordination/peers/allotments.go
@@ -55,13 +55,10 @@
 	if !a.reported {
 		a.reported, a.reportedSince = true, now
 	}
-	if !p.leads {
+	if !p.leads || now < a.reportedSince+reportRound || !p.hearsMost(now) {
 		a.allotter = nil
 		return
 	}
-	if now < a.reportedSince+reportRound {
-		return
-	}
 	if a.allotter == nil {
 		a.allotter, a.firstSeq = allotment.NewAllotter(a.lastSeq), a.lastSeq+1
 	}
@@ -81,18 +78,36 @@
 	return p.leads || (p.digest.Hosts > 0 && p.digest.Standby == p.self.Addr)
 }
 
+// hearsMost reports whether most hosts of the zone report to this one. A reader that
+// hears few would allot all slots to these, and two readers of a zone that is split
+// would allot the same slots.
+func (p *Peers) hearsMost(now time.Duration) bool {
+	n := 1
+	for _, other := range p.zonePeers() {
+		if p.hasReported(now, other) {
+			n++
+		}
+	}
+	return 2*n > 1+len(p.zonePeers())
+}
+
+// hasReported reports whether a host has sent a report lately. Reports that arrive
+// right at the end of a stall of this host are old: they waited in its socket.
+func (p *Peers) hasReported(now time.Duration, other *peer) bool {
+	return p.reports(now, other, p.reportWindow()) && other.lastHeartbeat >= p.allotments.reportedSince+HeartbeatInterval/2
+}
+
 // demand returns the reports of the live hosts that use allotments.
 func (p *Peers) demand(now time.Duration, targets []allotment.Target) []allotment.Demand {
 	services := make(map[uint32]string, len(targets))
 	for i := range targets {
 		services[targets[i].Token] = targets[i].Service
 	}
-	window := p.reportWindow()
 	list := []allotment.Demand{{
 		Host: p.self.Name, Requests: requests(services, p.ownLoads), Seq: p.allotments.lastSeq, Held: unpack(p.Holdings(now)),
 	}}
 	for _, other := range p.zonePeers() {
-		if !p.reports(now, other, window) || other.leaving || other.holdings == nil {
+		if !p.hasReported(now, other) || other.leaving || other.holdings == nil {
 			continue
 		}
 		d := allotment.Demand{Host: other.host.Name, Requests: requests(services, other.loads), Held: unpack(other.holdings)}
--- a/coordination/steering/allotted_test.go
+++ b/coordination/steering/allotted_test.go
@@ -240,3 +240,209 @@
 	}
 	return arrivalRatio(arrivals, from, to)
 }
+
+// allottedFixture returns a host of a zone with 12 targets of two slots, which holds
+// one slot of each of the first held ones. Other hosts report busy requests at each.
+func allottedFixture(t *testing.T, held, busy int) *fixture {
+	w := newFixture(t)
+	w.cfg.Balancing.Allotments = true
+	w.view.Targets = nil
+	for n := range 12 {
+		key := fmt.Sprintf("t%d", n)
+		w.add(key, "book", "a")
+		w.entry(fleet.TargetKey(key)).Slots = 2
+	}
+	w.apply()
+	w.setShare(held, busy)
+	return w
+}
+
+func (w *fixture) setShare(held, busy int) {
+	var holdings []allotment.Holding
+	loads := map[Token]TargetLoad{}
+	for n, e := range w.view.Targets {
+		token := TokenOf(e.Key)
+		if n < held {
+			holdings = append(holdings, allotment.Holding{Token: uint32(token), Slots: 1})
+		}
+		loads[token] = TargetLoad{Busy: busy}
+	}
+	w.SetPeerLoads(&PeerLoads{Hosts: 12, Settled: true, Targets: loads, Share: allotment.NewShare(w.now, holdings)})
+}
+
+// opened returns the targets of the next openings.
+func (w *fixture) opened(first, n int) map[fleet.TargetKey]int {
+	keys := map[fleet.TargetKey]int{}
+	for i := range n {
+		keys[w.caller(first+i, feeds).open(0).Key]++
+	}
+	return keys
+}
+
+// An opening goes to an unused slot of the host; a target whose slot is in use gets
+// the next one only when no other is unused.
+func TestOwnSlotsComeFirst(t *testing.T) {
+	is := is.New(t)
+	w := allottedFixture(t, 4, 1)
+	is.Equal(w.opened(0, 4), map[fleet.TargetKey]int{"t0": 1, "t1": 1, "t2": 1, "t3": 1})
+	is.Equal(w.borrowed["book"], uint64(0))
+	w.opened(4, 1)
+	is.Equal(w.borrowed["book"], uint64(1))
+	stats := w.AllotmentStats(w.now)
+	is.True(stats.InForce)
+	is.Equal(stats.Held, map[string]int{"book": 4})
+	is.Equal(stats.Borrowed, map[string]uint64{"book": 1})
+	is.Equal(len(stats.Targets), 12)
+}
+
+// Own slots of a target that is silent, avoided, missing or the one that did not
+// answer are not used while others are free.
+func TestUnusableOwnSlotsAreNotUsed(t *testing.T) {
+	for name, spoil := range map[string]func(*fixture, *target){
+		"silent":                 func(w *fixture, target *target) { target.health.markSilent(w.now) },
+		"silent for other hosts": func(_ *fixture, target *target) { target.peersUnanswered = minSilentFlows },
+		"answers too fast":       func(_ *fixture, target *target) { target.avoided, target.peersFast = true, 1 },
+		"missing":                func(_ *fixture, target *target) { target.entry.Missing = true },
+		"unreachable":            func(_ *fixture, target *target) { target.path = &zonePath{unreachable: true} },
+		"draining":               func(_ *fixture, target *target) { target.entry.Draining = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := allottedFixture(t, 1, 1)
+			spoil(w, w.targets["t0"])
+			is.Equal(w.opened(0, 6)["t0"], 0)
+		})
+	}
+	is := is.New(t)
+	w := allottedFixture(t, 1, 1)
+	c := w.caller(1, feeds)
+	is.Equal(c.open(0).Key, fleet.TargetKey("t0"))
+	w.now += 200 * time.Millisecond
+	is.True(c.open(1).Key != "t0")
+}
+
+// Without a valid share, in a small zone or without the setting, own slots do not
+// matter.
+func TestShareIsIgnoredUnlessInForce(t *testing.T) {
+	for name, change := range map[string]func(*fixture){
+		"expired":         func(w *fixture) { w.now += allotment.Lifetime },
+		"small zone":      func(w *fixture) { w.peerLoads.Hosts = maxComparingHosts },
+		"without setting": func(w *fixture) { w.cfg.Balancing.Allotments = false },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := allottedFixture(t, 1, 0)
+			change(w)
+			is.True(w.opened(0, 12)["t0"] < 12)
+			is.True(!w.AllotmentStats(w.now).InForce)
+			is.Equal(w.borrowed["book"], uint64(0))
+		})
+	}
+}
+
+// Guards against a cold target that gets more than its rate because each of many
+// hosts uses an equal share at once: only holders use it, by the slots they hold.
+func TestColdRateIsUsedByHoldersOnly(t *testing.T) {
+	is := is.New(t)
+	const rate, seconds = 4.0, 10
+	for held, want := range map[int]float64{0: 0, 1: rate * seconds / 2} {
+		w := allottedFixture(t, held, 0)
+		w.view.Config.Services["book"] = fleet.ServiceLimits{WarmUp: time.Minute, ColdOpenings: rate}
+		w.view.Config.Version++
+		for i := range w.view.Targets {
+			w.view.Targets[i].ColdUntil = time.Hour
+		}
+		w.apply()
+		got := 0
+		for n := range seconds * 50 {
+			w.setShare(held, 0)
+			if a := w.caller(n, feeds).open(0); a.Kind == Forward {
+				is.Equal(a.Key, fleet.TargetKey("t0"))
+				got++
+			} else {
+				is.Equal(a.Cause, CauseColdLimit)
+			}
+			w.now += 20 * time.Millisecond
+			w.Tick(w.now, w.recordReset)
+		}
+		is.True(math.Abs(float64(got)-want) <= 1)
+	}
+}
+
+// Near the connection limit only holders send a target flows, each its part, so that
+// hosts with old counts do not exceed the limit together.
+func TestConnectionLimitNearItsEnd(t *testing.T) {
+	const limit = 20
+	for _, c := range []struct {
+		held, own, others int
+		want              bool
+	}{
+		{0, 0, 14, true}, {0, 0, 15, false}, {1, 9, 6, true}, {1, 10, 6, false}, {2, 15, 1, true}, {2, 19, 1, false}, {1, 0, 20, false},
+	} {
+		is := is.New(t)
+		w := newFixture(t)
+		w.cfg.Balancing.Allotments = true
+		w.view.Targets = nil
+		w.add("t0", "book", "a")
+		w.entry("t0").Slots = 2
+		w.view.Config.Services["book"] = fleet.ServiceLimits{Connections: limit}
+		w.view.Config.Version++
+		w.apply()
+		token := TokenOf("t0")
+		w.SetPeerLoads(&PeerLoads{
+			Hosts: 12, Settled: true, Targets: map[Token]TargetLoad{token: {Open: c.others}},
+			Share: allotment.NewShare(w.now, []allotment.Holding{{Token: uint32(token), Slots: c.held}}),
+		})
+		w.targets["t0"].open = c.own
+		is.Equal(w.caller(1, feeds).open(0).Kind == Forward, c.want)
+	}
+}
+
+// Reports of loads count only for requests that take longer than the reports are
+// old: all hosts know the same ones.
+func TestOldReportsDoNotDecide(t *testing.T) {
+	is := is.New(t)
+	for took, want := range map[time.Duration]float64{50 * time.Millisecond: 0, 4 * time.Second: math.Exp(-0.1)} {
+		w := allottedFixture(t, 0, 1)
+		r := w.routes[feeds]
+		r.answerTime.median = took
+		c := w.newAllottedChoice(w.now, w.pools["book"], r)
+		is.Equal(c.reportWeight, want)
+		one := w.targets["t5"]
+		one.peersBusy = 5
+		is.True(math.Abs(one.peersLoad()+c.loadCorrection(one)-(want*2.5+(1-want)*0.5)) < 1e-9)
+	}
+}
+
+// The states of targets that the reader allots by.
+func TestStateOfAllottedTargets(t *testing.T) {
+	is := is.New(t)
+	w := allottedFixture(t, 0, 0)
+	w.targets["t0"].entry.Draining = true
+	w.targets["t1"].health.markSilent(w.now)
+	w.targets["t2"].peersUnanswered = minSilentFlows
+	w.targets["t3"].entry.Missing = true
+	w.targets["t4"].entry.ColdUntil = w.now + time.Second
+	w.targets["t5"].peersFast = 0.9
+	w.targets["t6"].zoneOut = true
+	w.targets["t7"].entry.Gone = true
+	states := map[uint32]allotment.State{}
+	for _, target := range w.AllotmentStats(w.now).Targets {
+		states[target.Token] = target.State
+	}
+	is.Equal(len(states), 11)
+	for n, want := range []allotment.State{
+		allotment.Closed, allotment.Closed, allotment.Closed, allotment.Closed, allotment.Cold, allotment.Rejecting, allotment.Closed, 0, allotment.Accepting,
+	} {
+		is.Equal(states[uint32(TokenOf(fleet.TargetKey(fmt.Sprintf("t%d", n))))], want)
+	}
+}
+
+func TestKnownFlowAllocatesNothingWithAllotments(t *testing.T) {
+	w := allottedFixture(t, 4, 1)
+	c, _ := w.established(1, feeds)
+	c.sendRequest()
+	var a Action
+	allocs := testing.AllocsPerRun(1000, func() { w.Handle(w.now, &c.p, &a) })
+	is.New(t).Equal(allocs, 0.0)
+}
--- a/protocol/gossip/allotments.go
+++ b/protocol/gossip/allotments.go
@@ -1,7 +1,9 @@
 package gossip
 
 import (
+	"cmp"
 	"encoding/binary"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 	"github.com/zeebo/xxh3"
@@ -45,33 +47,51 @@
 func ReaderID(h Host) uint64 { return xxh3.HashStringSeed("reader/"+h.Name, uint64(h.Started)) }
 
 const (
-	// packedBytes is the length of one packed holding: a token and a number of
-	// slots.
-	packedBytes = 4 + 1
-	// maxPackedSlots is the largest number of slots of one packed holding.
+	// tokenBytes is the length of a token.
+	tokenBytes = 4
+	// maxPackedSlots is the largest number of slots of one holding, maxRunLength the
+	// largest number of tokens after one number of slots.
 	maxPackedSlots = 255
-	// maxPackedHoldings bounds the holdings of one host.
-	maxPackedHoldings = 4096
+	maxRunLength   = 255
+	// maxPackedBytes bounds the holdings of one host: about 4,000.
+	maxPackedBytes = 16 << 10
 )
 
-// PackHoldings packs holdings into 5 bytes each.
+// PackHoldings packs holdings into about 4 bytes each: runs of tokens with the same
+// number of slots, each after that number and the length of the run.
 func PackHoldings(list []allotment.Holding) []byte {
-	b := make([]byte, 0, packedBytes*len(list))
-	for _, h := range list {
+	list = slices.Clone(list)
+	slices.SortStableFunc(list, func(a, b allotment.Holding) int { return cmp.Compare(a.Slots, b.Slots) })
+	b := make([]byte, 0, tokenBytes*(len(list)+1))
+	run := 0 // where the last run begins
+	for i, h := range list {
+		slots := byte(min(max(h.Slots, 0), maxPackedSlots))
+		if i == 0 || slots != b[run] || b[run+1] == maxRunLength {
+			run = len(b)
+			b = append(b, slots, 0)
+		}
+		b[run+1]++
 		b = binary.BigEndian.AppendUint32(b, h.Token)
-		b = append(b, byte(min(max(h.Slots, 0), maxPackedSlots)))
 	}
 	return b
 }
 
 // UnpackHoldings returns the holdings that PackHoldings has packed.
 func UnpackHoldings(b []byte) ([]allotment.Holding, error) {
-	if len(b)%packedBytes != 0 || len(b) > packedBytes*maxPackedHoldings {
-		return nil, errors.Newf("gossip: holdings of %d bytes", len(b))
+	if len(b) > maxPackedBytes {
+		return nil, errors.Newf("gossip: holdings of %d bytes exceed the limit of %d", len(b), maxPackedBytes)
 	}
-	list := make([]allotment.Holding, 0, len(b)/packedBytes)
-	for ; len(b) > 0; b = b[packedBytes:] {
-		list = append(list, allotment.Holding{Token: binary.BigEndian.Uint32(b), Slots: int(b[packedBytes-1])})
+	list := make([]allotment.Holding, 0, len(b)/tokenBytes)
+	for len(b) > 0 {
+		if len(b) < 2 || len(b) < 2+tokenBytes*int(b[1]) {
+			return nil, errors.New("gossip: holdings are cut off")
+		}
+		slots, n := int(b[0]), int(b[1])
+		b = b[2:]
+		for ; n > 0; n-- {
+			list = append(list, allotment.Holding{Token: binary.BigEndian.Uint32(b), Slots: slots})
+			b = b[tokenBytes:]
+		}
 	}
 	return list, nil
 }
--- a/transport/gossip/gossip_test.go
+++ b/transport/gossip/gossip_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
 
+	"github.com/jujubehaven/jujubehaven/coordination/allotment"
 	"github.com/jujubehaven/jujubehaven/coordination/steering"
 	"github.com/jujubehaven/jujubehaven/coordination/store"
 	"github.com/jujubehaven/jujubehaven/internal/fakes/buffer"
@@ -98,6 +99,13 @@
 
 // startHost starts an exchange with the addresses of other hosts as seeds.
 func startHost(t *testing.T, name, zone string, seeds ...netip.AddrPort) *testHost {
+	t.Helper()
+	return startAllottingHost(t, name, zone, nil, seeds...)
+}
+
+// startAllottingHost starts an exchange of a host whose targets are allotted, unless
+// targets is nil.
+func startAllottingHost(t *testing.T, name, zone string, targets func() []allotment.Target, seeds ...netip.AddrPort) *testHost {
 	t.Helper()
 	is := is.New(t)
 	free, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
@@ -109,6 +117,7 @@
 	h.Exchange, err = New(Config{
 		Listen: addr, Seeds: seeds, Local: h.localStub, Clock: func() time.Duration { return time.Since(start) },
 		Log: logging.New(h.log, zerolog.InfoLevel), Self: gossip.Host{Name: name, Zone: zone, Addr: addr, Started: start.UnixNano(), Protocol: gossip.Protocol},
+		Targets: targets,
 	})
 	is.NoErr(err)
 	ctx, cancel := context.WithCancel(context.Background())
