--- a/coordination/steering/crosszone.go
+++ b/coordination/steering/crosszone.go
@@ -21,6 +21,10 @@
 	// fullZonePenalty ranks targets of other zones that offer nothing behind those of
 	// the own zone that can queue, and before targets without a usable entry.
 	fullZonePenalty = 50.0
+	// maxRemoteQueue bounds the part of the queue limit that another zone's own requests
+	// take up, in multiples of the slots. That zone's hosts go on to queue up to the limit,
+	// so that callers of a zone without targets would get nothing.
+	maxRemoteQueue = 2.0
 	// awayHashSeed and overflowHashSeed make the choice of a zone independent of the
 	// choice of a target.
 	awayHashSeed     = 0x61776179
@@ -233,7 +237,7 @@
 	limit := s.queueLimit(p.Copy)
 	var sampled sample
 	for _, t := range pl.targets {
-		if t.entry.Zone == zone && !t.cold(now) && s.answers(now, t, pl.limits) && t.queuedPerSlot()+t.remoteLoad(now) < limit {
+		if t.entry.Zone == zone && !t.cold(now) && s.answers(now, t, pl.limits) && t.queuedPerSlot()+t.remoteQueue(now) < limit {
 			sampled.add(t, s.load(now, t), rendezvous.Mix(hash, t.entry.Number))
 		}
 	}
@@ -287,6 +291,11 @@
 	return float64(r.placed)+fraction(hash, overflowHashSeed) >= r.allowance
 }
 
+// remoteQueue returns the part of remoteLoad that counts towards the queue limit.
+func (t *target) remoteQueue(now time.Duration) float64 {
+	return min(t.remoteLoad(now), maxRemoteQueue)
+}
+
 // remoteLoad returns the requests per slot at a target of another zone that this
 // zone's hosts do not cause, by that zone's summary; 0 if there is no valid one.
 func (t *target) remoteLoad(now time.Duration) float64 {
--- a/coordination/steering/place.go
+++ b/coordination/steering/place.go
@@ -48,7 +48,7 @@
 			cause = max(cause, CauseColdLimit)
 			continue
 		}
-		if t.queuedPerSlot()+t.remoteLoad(now) >= limit {
+		if t.queuedPerSlot()+t.remoteQueue(now) >= limit {
 			cause = queueFullCause(p.Copy)
 			continue
 		}
--- a/internal/cli/doccmd/commands.go
+++ b/internal/cli/doccmd/commands.go
@@ -78,6 +78,7 @@
 			Name: "status", Usage: "show the state of the zones",
 			Flags: append(platformFlags(), balancerFlag()), Action: statusAction, OnUsageError: usageError,
 		},
+		capacityCommand(),
 	)
 }
 
--- a/internal/cli/doccmd/doccmd_test.go
+++ b/internal/cli/doccmd/doccmd_test.go
@@ -17,6 +17,7 @@
 	"github.com/jujubehaven/jujubehaven/coordination/store"
 	"github.com/jujubehaven/jujubehaven/internal/fakes/platform"
 	"github.com/jujubehaven/jujubehaven/protocol/document"
+	wire "github.com/jujubehaven/jujubehaven/protocol/report"
 	"github.com/matryer/is"
 	"github.com/urfave/cli/v3"
 )
@@ -244,3 +245,48 @@
 	r = f.expect(ExitOK, "key=zones generation=8", "zone", "return", "--balancer", up, "north")
 	f.True(strings.Contains(r.errOut, "older generation"))
 }
+
+// zone capacity prints what a host reports, as text and as JSON, and fails for a bad
+// flag, a host that does not answer and one that does not know the report.
+func TestZoneCapacity(t *testing.T) {
+	f := newFixture(t)
+	capacity := wire.Capacity{
+		Host: "h1", Zone: "a", Enabled: true, Services: []wire.ServiceCapacity{
+			{
+				Service: "book", Known: true, Slots: 60, Demand: 72, Spare: 0, ShareAway: 0.25,
+				Zones: []wire.ZoneCapacity{{Zone: "b", Slots: 80, Busy: 31, Spare: 30, ShareAway: 0.2}, {Zone: "c", Slots: 40, Busy: 20, Spare: 6, ShareAway: 0.05}},
+			},
+			{Service: "maps", Zones: []wire.ZoneCapacity{{Zone: "b", Slots: 8, Busy: 1}}},
+		},
+	}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != wire.CapacityPath {
+			http.NotFound(w, r)
+			return
+		}
+		_ = json.NewEncoder(w).Encode(capacity)
+	}))
+	t.Cleanup(server.Close)
+	r := f.expect(ExitOK, "host=h1 zone=a enabled=true", "zone", "capacity", "--admin", server.URL)
+	var fields [][]string
+	for _, line := range strings.Split(strings.TrimSpace(r.out), "\n")[1:] {
+		fields = append(fields, strings.Fields(line))
+	}
+	f.Equal(fields, [][]string{
+		{"SERVICE", "ZONE", "SLOTS", "REQUESTS", "SPARE", "SHARE"},
+		{"book", "a", "60", "72", "0", "0.75"},
+		{"book", "b", "80", "31", "30", "0.20"},
+		{"book", "c", "40", "20", "6", "0.05"},
+		{"maps", "a", "-", "-", "-", "1.00"},
+		{"maps", "b", "8", "1", "0", "0.00"},
+	})
+	r = f.expect(ExitOK, "", "zone", "capacity", "--admin", server.URL, "--json")
+	var got wire.Capacity
+	f.NoErr(json.Unmarshal([]byte(r.out), &got))
+	f.Equal(got, capacity)
+	f.expect(ExitInput, "--admin", "zone", "capacity")
+	f.expect(ExitInput, "--admin", "zone", "capacity", "--admin", "10.0.0.1:9100")
+	f.expect(ExitInput, "expects no argument", "zone", "capacity", "--admin", server.URL, "a")
+	f.expect(ExitFailure, "answered 404", "zone", "capacity", "--admin", server.URL+"/other")
+	f.expect(ExitFailure, "127.0.0.1:1", "zone", "capacity", "--admin", "http://127.0.0.1:1")
+}
--- a/internal/tokenhost/host.go
+++ b/internal/tokenhost/host.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"net/netip"
 	"strings"
 	"sync"
@@ -24,6 +25,7 @@
 	"github.com/jujubehaven/jujubehaven/internal/settings"
 	"github.com/jujubehaven/jujubehaven/protocol/document"
 	wire "github.com/jujubehaven/jujubehaven/protocol/gossip"
+	"github.com/jujubehaven/jujubehaven/protocol/report"
 	"github.com/jujubehaven/jujubehaven/transport/admin"
 	"github.com/jujubehaven/jujubehaven/transport/direct"
 	"github.com/jujubehaven/jujubehaven/transport/follow"
@@ -83,7 +85,8 @@
 		Listen: s.Data[0], Codec: deps.Codec, Observer: h.decisions, Clock: h.clock,
 		Steering: steering.New(steering.Config{
 			Zone: s.Zone, Events: h.decisions.logTargetEvent, ZoneEvents: h.decisions.logZoneEvent,
-			CompleteTo: h.completeTo, Refresh: h.refresh, Balancing: steering.Balancing(s.Balancing),
+			ShareEvents: h.decisions.logShareEvent,
+			CompleteTo:  h.completeTo, Refresh: h.refresh, Balancing: steering.Balancing(s.Balancing),
 		}),
 	})
 	if err != nil {
@@ -100,6 +103,7 @@
 	h.registry.MustRegister(newCollector(h), h.decisions.handshakes, h.decisions.answers,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	h.admin = admin.New(admin.Config{Metrics: h.registry, Ready: h.checkReady, Documents: noDocuments})
+	h.admin.Handle("GET "+report.CapacityPath, http.HandlerFunc(h.serveCapacity))
 	if err := h.listen(); err != nil {
 		h.Close()
 		return nil, err
--- a/internal/tokenhost/metrics.go
+++ b/internal/tokenhost/metrics.go
@@ -24,7 +24,7 @@
 	waited                                            *prometheus.Desc
 	repeatedOpenings, repeatedData, silenced, flows   *prometheus.Desc
 	targetFlows, targetRequests, targetSilent         *prometheus.Desc
-	unreachableZones                                  *prometheus.Desc
+	unreachableZones, zoneSpareSlots, zoneShareAway   *prometheus.Desc
 	storeCalls, storeFailures, viewAge                *prometheus.Desc
 	storeEpoch, storeRestores, keptEntries            *prometheus.Desc
 	feeds, configVersion, rejectedEntries, ready      *prometheus.Desc
@@ -52,6 +52,8 @@
 		targetRequests:   newDesc("target_requests", "Requests in work at a target through this host.", "target", "service"),
 		targetSilent:     newDesc("target_silent", "1 while the target is believed not to answer.", "target", "service"),
 		unreachableZones: newDesc("unreachable_zones", "Zones whose targets this host does not reach."),
+		zoneSpareSlots:   newDesc("zone_spare_slots", "Requests of a service that a zone can take: all for this host's zone, what it offers to that for another one.", "zone", "service"),
+		zoneShareAway:    newDesc("zone_share_away", "Share of a service's new flows that this host sends to another zone.", "zone", "service"),
 		storeCalls:       newDesc("store_calls_total", "Calls to the store by operation and reason.", "operation", "reason"),
 		storeFailures:    newDesc("store_failures_total", "Calls without a usable answer.", "kind"),
 		viewAge:          newDesc("view_age_seconds", "Time since the store or a feed told this host anything."),
@@ -75,7 +77,7 @@
 func (c *collector) descs() []*prometheus.Desc {
 	return []*prometheus.Desc{
 		c.received, c.waited, c.undecodable, c.decisions, c.sendErrors, c.repeatedOpenings, c.repeatedData, c.silenced, c.flows,
-		c.targetFlows, c.targetRequests, c.targetSilent, c.unreachableZones, c.storeCalls, c.storeFailures, c.viewAge, c.feeds,
+		c.targetFlows, c.targetRequests, c.targetSilent, c.unreachableZones, c.zoneSpareSlots, c.zoneShareAway, c.storeCalls, c.storeFailures, c.viewAge, c.feeds,
 		c.storeEpoch, c.storeRestores, c.keptEntries,
 		c.configVersion, c.rejectedEntries, c.ready, c.gossipSent, c.gossipSentBytes, c.gossipReceived, c.zoneHosts,
 		c.readsStore, c.linesLeftOut, c.linesDropped,
@@ -104,6 +106,7 @@
 func (c *collector) Collect(ch chan<- prometheus.Metric) {
 	out := metricWriter{ch}
 	c.collectPackets(out)
+	c.collectCapacity(out)
 	c.collectStore(out)
 	c.collectExchange(out)
 	out.gauge(c.ready, boolValue(c.host.ready() == nil))
