--- a/coordination/steering/place.go
+++ b/coordination/steering/place.go
@@ -55,7 +55,7 @@
 			continue
 		}
 		correction := own.loadCorrection(t)
-		if t.queuedPerSlot()+t.remoteLoad(now)+correction >= limit {
+		if t.queuedPerSlot()+t.remoteQueue(now)+correction >= limit {
 			cause = queueFullCause(p.Copy)
 			continue
 		}
