Test the steps of the share, its random variations and what a summary counts

Mutations of the code survived the tests: larger steps of the share, no reversal (76 turns in 60 s instead of at most 22), the receiver's own requests counted in a summary, and no penalty for a zone that offers nothing. Each now fails a test.

--- a/coordination/crosszone/crosszone_test.go
+++ b/coordination/crosszone/crosszone_test.go
@@ -310,8 +310,8 @@
 		if z != m.zones[0] {
 			return
 		}
-		is.True(z.away()-last <= maxRise+1e-9)
-		is.True(last-z.away() <= maxFall+1e-9 || m.now > 20*time.Second)
+		is.True(z.away()-last <= 0.1+1e-9)
+		is.True(last-z.away() <= 0.05+1e-9 || m.now > 20*time.Second)
 		is.True(m.now >= 5*time.Second || z.away() == 0)
 		is.True(m.now < 23*time.Second || z.away() == 0)
 		last = z.away()
@@ -403,7 +403,7 @@
 				if demand > 0 {
 					worst = max(worst, over/demand)
 				}
-				if over > maxRise*demand+1 {
+				if over > 0.1*demand+1 {
 					t.Errorf("seed %d at %v: zone %s gets %.1f, offers %d; demand of the senders %.1f",
 						seed, m.now, w.name, sent, w.offerSince(m.now-inForce), demand)
 				}
@@ -413,3 +413,57 @@
 	}
 	t.Logf("largest excess over the offers: %.3f of the senders' demand", worst)
 }
+
+// Guards against shares that follow random variations of the counts of requests while
+// the demand does not change.
+func TestSharesIgnoreRandomVariations(t *testing.T) {
+	for _, demand := range []float64{87, 110} {
+		for seed := range uint64(5) {
+			m := newModel(seed, constantDemand(demand), constantDemand(30))
+			m.noise = true
+			var shares turnCounter
+			shares.tolerance = 0.001
+			m.check = func(z *modelZone) {
+				if z == m.zones[0] && m.now > 5*time.Second {
+					shares.add(z.away())
+				}
+			}
+			m.run(65 * time.Second)
+			t.Logf("demand %.0f, seed %d: %d turns", demand, seed, shares.turns)
+			is.New(t).True(shares.turns <= 25)
+		}
+	}
+}
+
+// Guards against requests that a zone counts twice or not at all: what the receiver has
+// in progress there is known to the receiver, what third zones have is not.
+func TestSummaryContents(t *testing.T) {
+	is := is.New(t)
+	id := ID(testService)
+	s := NewSummarizer("a")
+	s.Update([]Load{
+		{Service: testService, Zone: "a", Slots: 100, Busy: 40},
+		{Service: testService, Zone: "b", Busy: 6},
+		{Service: testService, Zone: "c", Busy: 4},
+		{Service: "idle", Zone: "a", Slots: 50},
+	})
+	others := []Zone{
+		{Name: "b", Services: []Service{{ID: id, Slots: 100, Demand: 20, Sent: 7}}},
+		{Name: "c", Services: []Service{{ID: id, Slots: 10, Demand: 20, Sent: 9}, {ID: ID("elsewhere"), Demand: 5}}},
+	}
+	// 35 requests are spare; the excess is 0 of b and 11.5 of c, each plus one request.
+	is.Equal(s.For("b", others), []Service{{ID: id, Slots: 100, Busy: 49, Demand: 50, Offer: 2, Sent: 6}})
+	is.Equal(s.For("c", others), []Service{{ID: id, Slots: 100, Busy: 47, Demand: 50, Offer: 32, Sent: 4}})
+	is.Equal(s.Own(others), []Service{{ID: id, Slots: 100, Busy: 56, Demand: 50, Offer: 35}})
+	// A service without traffic here is offered to a zone that has some.
+	others[1].Services[1].ID = ID("idle")
+	is.Equal(len(s.For("c", others)), 2)
+	// What is lost is not offered; demand follows in steps.
+	s.Update([]Load{{Service: testService, Zone: "a", Slots: 60, Busy: 40}, {Service: testService, Zone: "c", Busy: 14}})
+	is.Equal(s.Own(nil), []Service{{ID: id, Slots: 60, Busy: 40, Demand: 51, Offer: 0}})
+	// Requests in queues count up to half of the slots.
+	for range 40 {
+		s.Update([]Load{{Service: testService, Zone: "a", Slots: 60, Busy: 180}})
+	}
+	is.Equal(s.Own(nil)[0].Demand, 90)
+}
--- a/coordination/steering/crosszone_test.go
+++ b/coordination/steering/crosszone_test.go
@@ -96,12 +96,12 @@
 	full := func(at time.Duration) []crosszone.Zone {
 		return []crosszone.Zone{
 			summaryOf("a", at, crosszone.Service{Slots: 30, Busy: 70, Demand: 45}),
-			summaryOf("b", at, crosszone.Service{Slots: 30, Busy: 60, Demand: 45}),
-			summaryOf("c", at, crosszone.Service{Slots: 30, Busy: 75, Demand: 45}),
+			summaryOf("b", at, crosszone.Service{Slots: 30, Busy: 40, Demand: 40}), // far less loaded
+			summaryOf("c", at, crosszone.Service{Slots: 30, Busy: 60, Demand: 45}),
 		}
 	}
 	loads := map[Token]TargetLoad{}
-	peersBusy(w, loads, "a", 7) // of at most 9 that may wait
+	peersBusy(w, loads, "a", 8) // of at most 9 that may wait
 	w.rounds(2, loads, func(time.Duration) []crosszone.Zone { return nil })
 	is.Equal(w.placedBy(100)["a"], 0) // as without summaries
 	w.rounds(2, loads, full)
@@ -112,7 +112,7 @@
 	placed := w.placedBy(900)
 	t.Log(placed)
 	is.Equal(placed["a"], 0)
-	is.True(placed["b"] > placed["c"] && placed["c"] > 200) // by the room in the queues, 30 and 15
+	is.True(placed["b"] > placed["c"] && placed["c"] > 200) // by the room in the queues, 50 and 30
 
 	// All queues are full. A third of those in the other zones is left to this one, whose
 	// flows would get nothing otherwise; once they use it up, they are dropped.
