Use another zone from the same load on with allotments as without

Sampling all targets of the own zone kept openings there although all were full and another zone's target was cheaper (TestFullZoneUsesAnotherZone fails without the change). A reader without a view sends no table.

--- a/coordination/allotment/allotter_test.go
+++ b/coordination/allotment/allotter_test.go
@@ -155,15 +155,18 @@
 
 // excess returns how many slots more than there are the live hosts hold.
 func (z *zone) excess() int {
+	held := make(map[uint32]int, len(z.targets))
+	for _, h := range z.hosts {
+		if h.dead || !h.share.Valid(z.now) {
+			continue
+		}
+		for _, holding := range h.held {
+			held[holding.Token] += holding.Slots
+		}
+	}
 	sum := 0
 	for _, t := range z.targets {
-		held := 0
-		for _, h := range z.hosts {
-			if !h.dead && h.share.Valid(z.now) {
-				held += h.share.Held(t.Token)
-			}
-		}
-		sum += max(held-t.Slots, 0)
+		sum += max(held[t.Token]-t.Slots, 0)
 	}
 	return sum
 }
--- a/coordination/peers/allotments.go
+++ b/coordination/peers/allotments.go
@@ -44,7 +44,8 @@
 }
 
 // Allot computes the table of this round if this host is the reader of a large zone
-// and has received the reports of all hosts. targets are the targets of the zone.
+// and has received the reports of all hosts. targets are the targets of the zone, none
+// as long as this host has no view of them.
 func (p *Peers) Allot(now time.Duration, targets []allotment.Target) {
 	a := &p.allotments
 	a.table = nil
@@ -55,7 +56,7 @@
 	if !a.reported {
 		a.reported, a.reportedSince = true, now
 	}
-	if !p.leads || now < a.reportedSince+reportRound || !p.hearsMost(now) {
+	if !p.leads || len(targets) == 0 || now < a.reportedSince+reportRound || !p.hearsMost(now) {
 		a.allotter = nil
 		return
 	}
--- a/coordination/steering/allotted.go
+++ b/coordination/steering/allotted.go
@@ -128,6 +128,12 @@
 	return c.inForce && t.held == 0 && t.entry.Zone == c.zone && cost < unusableCost
 }
 
+// leavesZone reports whether the cheapest of all targets is in another zone and
+// cheaper than the cheapest of the sample.
+func (c *allottedChoice) leavesZone(cheapest *target, cost, sampleCost float64) bool {
+	return c.inForce && cheapest.entry.Zone != c.zone && cost < sampleCost
+}
+
 // add adds a target with its cost, corrected by loadCorrection.
 func (c *allottedChoice) add(t *target, cost float64) {
 	if !c.inForce || t.held == 0 || cost >= unusableCost {
--- a/coordination/steering/allotted_test.go
+++ b/coordination/steering/allotted_test.go
@@ -265,7 +265,9 @@
 		if n < held {
 			holdings = append(holdings, allotment.Holding{Token: uint32(token), Slots: 1})
 		}
-		loads[token] = TargetLoad{Busy: busy}
+		if e.Zone == w.cfg.Zone {
+			loads[token] = TargetLoad{Busy: busy}
+		}
 	}
 	w.SetPeerLoads(&PeerLoads{Hosts: 12, Settled: true, Targets: loads, Share: allotment.NewShare(w.now, holdings)})
 }
@@ -321,6 +323,25 @@
 	is.True(c.open(1).Key != "t0")
 }
 
+// Guards against openings that stay in a zone whose targets are full: another zone
+// is used from the same load on as without allotments, by hosts with and without slots
+// of their own.
+func TestFullZoneUsesAnotherZone(t *testing.T) {
+	for _, held := range []int{0, 2} {
+		for busy, away := range map[int]bool{1: false, 5: true} {
+			t.Run(fmt.Sprintf("%d slots, %d requests at each target", held, busy), func(t *testing.T) {
+				is := is.New(t)
+				w := allottedFixture(t, held, busy)
+				w.add("b0", "book", "b")
+				w.apply()
+				w.setShare(held, busy)
+				w.opened(0, held) // the own slots
+				is.Equal(w.opened(held, 1)["b0"] == 1, away)
+			})
+		}
+	}
+}
+
 // Without a valid share, in a small zone or without the setting, own slots do not
 // matter.
 func TestShareIsIgnoredUnlessInForce(t *testing.T) {
--- a/coordination/steering/place.go
+++ b/coordination/steering/place.go
@@ -64,7 +64,7 @@
 			sampled.add(t, cost, rendezvous.Mix(hash, t.entry.Number))
 		}
 	}
-	if t, c := sampled.cheapest(); t != nil {
+	if t, c := sampled.cheapest(); t != nil && !own.leavesZone(best, bestCost, c) {
 		best, bestCost = t, c
 	}
 	return own.choose(best, bestCost), cause
