Place flows by the expected time of service of requests in progress

Requests of one service differ in cost by a factor of seven to fifteen, and the number of requests at a target says little about the wait there. Package servicetime learns the distribution of service times by route and service, the mean by service and the speed by target, from requests that found a free slot. With balancing.expected_work the load of a target is the expected remaining time of its requests.

--- a/coordination/steering/cost.go
+++ b/coordination/steering/cost.go
@@ -46,7 +46,7 @@
 
 // cost ranks a target for a flow; the lowest cost is selected.
 func (s *Steering) cost(now time.Duration, t *target, hash uint64) float64 {
-	cost := s.load(now, t) + t.fastAnswerPenalty(now)
+	cost := s.load(now, t) + s.slowPenalty(now, t) + t.fastAnswerPenalty(now)
 	if t.entry.Zone != s.cfg.Zone {
 		cost += otherZonePenalty
 	}
@@ -66,7 +66,12 @@
 // load returns the target's load as known to the hosts of this zone, in
 // multiples of its slots.
 func (s *Steering) load(now time.Duration, t *target) float64 {
-	load := t.queuedPerSlot() + openFlowLoad*float64(t.open+t.peersOpen)/float64(max(t.entry.Slots, 1))
+	var load float64
+	if s.cfg.Balancing.ExpectedWork {
+		load = s.expectedLoad(now, t)
+	} else {
+		load = t.queuedPerSlot() + openFlowLoad*float64(t.open+t.peersOpen)/float64(max(t.entry.Slots, 1))
+	}
 	if t.cold(now) {
 		load *= coldLoadFactor
 	}
--- a/coordination/steering/fastanswers.go
+++ b/coordination/steering/fastanswers.go
@@ -111,6 +111,9 @@
 	tooFast := r.answerTime.tooFast(took)
 	f.target.fastAnswers.addAnswer(now, tooFast)
 	r.answerTime.addSample(took)
+	if !tooFast {
+		s.learnServiceTime(now, f, p, took)
+	}
 	if tooFast || f.target.avoided {
 		p.selectAvoided(now)
 	}
@@ -159,6 +162,7 @@
 func (s *Steering) judgePools(now time.Duration) {
 	for _, p := range s.pools {
 		p.judgeSaturation()
+		p.judgeShare()
 		p.selectAvoided(now)
 	}
 }
--- a/coordination/steering/flows.go
+++ b/coordination/steering/flows.go
@@ -61,6 +61,7 @@
 	// retransmitted is set when the flow has retransmitted data that is still
 	// unanswered.
 	retransmitted bool
+	pendingWork
 }
 
 // seqAfter reports whether sequence number a is after b (RFC 9293, 3.4).
@@ -109,6 +110,7 @@
 	} else {
 		f.target.busy--
 	}
+	f.target.listPending(f)
 }
 
 // setCountedOpen sets whether the flow counts as open and updates its target's
@@ -137,6 +139,7 @@
 	} else {
 		f.target.opening--
 	}
+	f.target.listPending(f)
 }
 
 // sweep removes flows that have ended or are idle, and expires the load of
@@ -147,6 +150,7 @@
 		idle = defaultIdleTimeout
 	}
 	for key, f := range s.flows {
+		s.watchFlow(now, f)
 		inactive := now - f.lastSeen
 		if inactive > busyLoadExpiry {
 			s.setBusy(f, false)
--- a/coordination/steering/observe.go
+++ b/coordination/steering/observe.go
@@ -39,6 +39,7 @@
 		f.open = true
 		f.ack = p.Ack
 		a.HandshakeTime = now - f.placedAt
+		f.roundTrip = a.HandshakeTime
 		s.recordProgress(now, t)
 	}
 	if seqAfter(p.Ack, f.ack) {
@@ -46,6 +47,9 @@
 		if f.busy {
 			a.AnswerTime = now - f.pendingSince
 			s.recordAnswerTime(now, r, f, a.AnswerTime)
+			if !f.answered {
+				f.answered, f.watchedAt = true, now
+			}
 		}
 		if f.awaiting {
 			// Without data of this host's own the answer may be to a packet that
@@ -58,7 +62,7 @@
 		s.setBusy(f, false)
 	}
 	if len(p.Payload) > 0 {
-		s.observeData(now, p, f, a)
+		s.observeData(now, p, r, f, a)
 	}
 	if p.Class == packet.Closing || p.Class == packet.Reset {
 		s.setBusy(f, false)
@@ -69,7 +73,7 @@
 }
 
 // observeData updates the state from a packet that carries data.
-func (s *Steering) observeData(now time.Duration, p *Segment, f *flow, a *Action) {
+func (s *Steering) observeData(now time.Duration, p *Segment, r *route, f *flow, a *Action) {
 	t := f.target
 	end := p.Seq + uint32(len(p.Payload))
 	if !seqAfter(end, f.nextSeq) {
@@ -88,6 +92,7 @@
 		a.RequestStarts = true
 		s.setOpening(f, false)
 		f.foundFreeSlot = t.hasFreeSlot()
+		s.startWork(now, r, f)
 	}
 	if end-f.baseSeq > maxInFlight {
 		f.baseSeq = end - maxInFlight/2
--- a/coordination/steering/openings.go
+++ b/coordination/steering/openings.go
@@ -34,6 +34,7 @@
 	s.detach(f)
 	*f = flow{placedAt: now, lastSeen: now, nextSeq: p.Seq + 1, baseSeq: p.Seq + 1}
 	s.attach(f, t)
+	f.times = r.timesAt(t)
 	s.setOpening(f, true)
 	t.health.recordAttempt(now)
 	a.Placed = true
--- a/coordination/steering/target.go
+++ b/coordination/steering/target.go
@@ -6,6 +6,7 @@
 	"github.com/zeebo/xxh3"
 
 	"github.com/jujubehaven/jujubehaven/coordination/fleet"
+	"github.com/jujubehaven/jujubehaven/coordination/servicetime"
 )
 
 // target is a target with this host's own data about it.
@@ -42,6 +43,11 @@
 	// nextColdOpening is when this host may send the target its next opening
 	// while the target is cold.
 	nextColdOpening time.Duration
+	// firstPending and lastPending are the ends of the list of this host's flows at
+	// the target that are opening or busy, the oldest first.
+	firstPending, lastPending *flow
+	// speed is the target's speed relative to others.
+	speed servicetime.Speed
 }
 
 // TokenOf returns the token of a target: a hash of its key, the same on every
--- a/coordination/steering/view.go
+++ b/coordination/steering/view.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/jujubehaven/jujubehaven/coordination/fleet"
+	"github.com/jujubehaven/jujubehaven/coordination/servicetime"
 	"github.com/jujubehaven/jujubehaven/protocol/packet"
 )
 
@@ -20,6 +21,8 @@
 type share struct {
 	pool   *pool
 	weight int
+	// times estimates the service times of the route's requests at the pool.
+	times *servicetime.Distribution
 }
 
 // pool holds the targets of one service that are not gone.
@@ -29,6 +32,11 @@
 	targets []*target
 	// saturated is set while nearly all slots are in use.
 	saturated bool
+	// times estimates the mean service time of the pool's requests.
+	times *servicetime.Service
+	// ownKnowledge is how far the loads of the pool's targets follow from this host's
+	// own flows, from 0 to 1.
+	ownKnowledge float64
 }
 
 // SetView replaces the host's view. Open flows keep their targets.
@@ -43,9 +51,13 @@
 // setConfig rebuilds the pools and routes from a configuration. What was learned of
 // a route's answer times is kept while the same services serve it.
 func (s *Steering) setConfig(c *fleet.Config) {
+	formerPools := s.pools
 	s.pools = make(map[string]*pool, len(c.Services))
 	for name, limits := range c.Services {
-		s.pools[name] = &pool{service: name, limits: limits}
+		s.pools[name] = &pool{service: name, limits: limits, times: &servicetime.Service{}}
+		if old := formerPools[name]; old != nil {
+			s.pools[name].times = old.times
+		}
 	}
 	former := s.routes
 	s.routes = make(map[packet.Endpoint]*route, len(c.Routes))
@@ -54,6 +66,7 @@
 		if old := former[c.Routes[i].Endpoint]; old != nil && old.sameServices(r) {
 			r.answerTime = old.answerTime
 		}
+		r.keepTimes(former[c.Routes[i].Endpoint])
 		s.routes[c.Routes[i].Endpoint] = r
 	}
 }
@@ -70,7 +83,7 @@
 		if p == nil || sh.Weight <= 0 {
 			continue
 		}
-		rt.shares = append(rt.shares, share{pool: p, weight: sh.Weight})
+		rt.shares = append(rt.shares, share{pool: p, weight: sh.Weight, times: &servicetime.Distribution{}})
 		rt.totalWeight += sh.Weight
 	}
 	return rt
--- a/coordination/steering/zonereplay_test.go
+++ b/coordination/steering/zonereplay_test.go
@@ -49,6 +49,9 @@
 	work func() time.Duration
 	// route is the service address of the next request.
 	route func() packet.Endpoint
+	// routeWork returns the time of service of a request of a route, in place of
+	// work for the routes in it.
+	routeWork map[packet.Endpoint]func() time.Duration
 }
 
 // zoneServer serves slots requests at once, queues zoneQueue more and rejects the
@@ -58,6 +61,8 @@
 	waiting     []func()
 	// failing is set if each request is answered at once with an error.
 	failing bool
+	// slowness multiplies the time of service if it is not 0.
+	slowness float64
 	// arrivals holds the times of the openings that reached the target.
 	arrivals []time.Duration
 }
@@ -226,7 +231,7 @@
 	sent := z.now
 	work := func() {
 		wait := z.now - sent
-		z.at(z.now+z.work(), func() {
+		z.at(z.now+z.workOf(c.p.Flow.Service, s), func() {
 			s.busy--
 			if len(s.waiting) > 0 {
 				next := s.waiting[0]
