Explain where an opening would be placed, by a command and an endpoint

jujubehaven explain asks a running host, at GET /explain of its admin address, for each target's zone, load and cost, what rules it out or ranks it lower, the ages of the data and the choice. The packet path owns the state and answers between two packets: the question is handed over by an atomic pointer, as views are, so that a packet takes no lock. The choice comes from the function that places openings; a test over 2,000 openings each at 1, 4 and 12 hosts compares it with the placement that follows, and another one compares all state before and after.

New metrics: service_time_seconds, slow_targets.

--- a/cmd/jujubehaven/main.go
+++ b/cmd/jujubehaven/main.go
@@ -14,6 +14,7 @@
 
 	"github.com/jujubehaven/jujubehaven/internal/cli/benchcmd"
 	"github.com/jujubehaven/jujubehaven/internal/cli/doccmd"
+	"github.com/jujubehaven/jujubehaven/internal/cli/explaincmd"
 	"github.com/jujubehaven/jujubehaven/internal/cli/replaycmd"
 	"github.com/jujubehaven/jujubehaven/internal/cli/reportcmd"
 )
@@ -72,6 +73,7 @@
 	return slices.Concat(
 		[]*cli.Command{runCommand()},
 		doccmd.Commands(),
+		explaincmd.Commands(),
 		reportcmd.Commands(),
 		replaycmd.Commands(),
 		benchcmd.Commands(),
--- a/coordination/steering/steering.go
+++ b/coordination/steering/steering.go
@@ -61,8 +61,10 @@
 // Steering makes the forwarding decisions of one host. It holds the host's view
 // and what callers' packets show about flows and targets.
 type Steering struct {
-	cfg     Config
-	view    *fleet.View
+	cfg  Config
+	view *fleet.View
+	// viewAt is when the view was last replaced.
+	viewAt  time.Duration
 	targets map[fleet.TargetKey]*target
 	tokens  map[Token]*target
 	pools   map[string]*pool
--- a/coordination/steering/view.go
+++ b/coordination/steering/view.go
@@ -44,7 +44,7 @@
 	if s.view == nil || s.view.Config.Version != v.Config.Version {
 		s.setConfig(&v.Config)
 	}
-	s.view = v
+	s.view, s.viewAt = v, now
 	s.setTargets(now, v)
 }
 
--- a/coordination/steering/work.go
+++ b/coordination/steering/work.go
@@ -289,3 +289,32 @@
 	}
 	return max(1/t.speed.Factor(now)-1, 0)
 }
+
+// ServiceTime is the mean service time of a service's requests, without the wait in
+// the targets' queues.
+type ServiceTime struct {
+	Service string
+	Mean    time.Duration
+}
+
+// ServiceTimes returns the services whose mean service time is known.
+func (s *Steering) ServiceTimes(now time.Duration) []ServiceTime {
+	var list []ServiceTime
+	for name, p := range s.pools {
+		if mean, ok := p.times.Mean(now); ok {
+			list = append(list, ServiceTime{Service: name, Mean: mean})
+		}
+	}
+	return list
+}
+
+// SlowTargets returns how many targets serve requests slower than others.
+func (s *Steering) SlowTargets(now time.Duration) int {
+	n := 0
+	for _, t := range s.targets {
+		if t.speed.Factor(now) < 1 {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/tokenhost/host.go
+++ b/internal/tokenhost/host.go
@@ -23,6 +23,7 @@
 	"github.com/jujubehaven/jujubehaven/internal/logging"
 	"github.com/jujubehaven/jujubehaven/internal/settings"
 	"github.com/jujubehaven/jujubehaven/protocol/document"
+	"github.com/jujubehaven/jujubehaven/protocol/explain"
 	wire "github.com/jujubehaven/jujubehaven/protocol/gossip"
 	"github.com/jujubehaven/jujubehaven/transport/admin"
 	"github.com/jujubehaven/jujubehaven/transport/direct"
@@ -100,6 +101,7 @@
 	h.registry.MustRegister(newCollector(h), h.decisions.handshakes, h.decisions.answers,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	h.admin = admin.New(admin.Config{Metrics: h.registry, Ready: h.checkReady, Documents: noDocuments})
+	h.admin.Handle("GET "+explain.Path, newExplainHandler(h))
 	if err := h.listen(); err != nil {
 		h.Close()
 		return nil, err
--- a/internal/tokenhost/metrics.go
+++ b/internal/tokenhost/metrics.go
@@ -25,6 +25,7 @@
 	repeatedOpenings, repeatedData, silenced, flows   *prometheus.Desc
 	targetFlows, targetRequests, targetSilent         *prometheus.Desc
 	unreachableZones                                  *prometheus.Desc
+	serviceTime, slowTargets                          *prometheus.Desc
 	storeCalls, storeFailures, viewAge                *prometheus.Desc
 	storeEpoch, storeRestores, keptEntries            *prometheus.Desc
 	feeds, configVersion, rejectedEntries, ready      *prometheus.Desc
@@ -52,6 +53,8 @@
 		targetRequests:   newDesc("target_requests", "Requests in work at a target through this host.", "target", "service"),
 		targetSilent:     newDesc("target_silent", "1 while the target is believed not to answer.", "target", "service"),
 		unreachableZones: newDesc("unreachable_zones", "Zones whose targets this host does not reach."),
+		serviceTime:      newDesc("service_time_seconds", "Mean service time of requests without the wait in queues.", "service"),
+		slowTargets:      newDesc("slow_targets", "Targets that serve requests slower than others."),
 		storeCalls:       newDesc("store_calls_total", "Calls to the store by operation and reason.", "operation", "reason"),
 		storeFailures:    newDesc("store_failures_total", "Calls without a usable answer.", "kind"),
 		viewAge:          newDesc("view_age_seconds", "Time since the store or a feed told this host anything."),
@@ -76,7 +79,7 @@
 	return []*prometheus.Desc{
 		c.received, c.waited, c.undecodable, c.decisions, c.sendErrors, c.repeatedOpenings, c.repeatedData, c.silenced, c.flows,
 		c.targetFlows, c.targetRequests, c.targetSilent, c.unreachableZones, c.storeCalls, c.storeFailures, c.viewAge, c.feeds,
-		c.storeEpoch, c.storeRestores, c.keptEntries,
+		c.storeEpoch, c.storeRestores, c.keptEntries, c.serviceTime, c.slowTargets,
 		c.configVersion, c.rejectedEntries, c.ready, c.gossipSent, c.gossipSentBytes, c.gossipReceived, c.zoneHosts,
 		c.readsStore, c.linesLeftOut, c.linesDropped,
 	}
@@ -124,6 +127,10 @@
 	out.counter(c.silenced, s.Counts.Silenced)
 	out.gauge(c.flows, float64(s.Flows))
 	out.gauge(c.unreachableZones, float64(len(s.UnreachableZones)))
+	out.gauge(c.slowTargets, float64(s.SlowTargets))
+	for _, t := range s.ServiceTimes {
+		out.gauge(c.serviceTime, t.Mean.Seconds(), t.Service)
+	}
 	for cause := range steering.CauseCount {
 		out.counter(c.decisions, s.Counts.Forwarded[cause], "forward", cause.String())
 		out.counter(c.decisions, s.Counts.Dropped[cause], "drop", cause.String())
--- a/transport/direct/direct.go
+++ b/transport/direct/direct.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -76,16 +77,24 @@
 	KnownTargets int
 	// UnreachableZones are the zones whose targets this host does not reach.
 	UnreachableZones []string
+	// ServiceTimes are the services whose mean service time is known, SlowTargets the
+	// number of targets that are slower than others.
+	ServiceTimes []steering.ServiceTime
+	SlowTargets  int
 }
 
 // Server runs the packet path of one host.
 type Server struct {
-	cfg    Config
-	conn   *net.UDPConn
-	view   atomic.Pointer[fleet.View]
-	loads  atomic.Pointer[steering.PeerLoads]
-	stats  atomic.Pointer[Stats]
-	closed atomic.Bool
+	cfg   Config
+	conn  *net.UDPConn
+	view  atomic.Pointer[fleet.View]
+	loads atomic.Pointer[steering.PeerLoads]
+	stats atomic.Pointer[Stats]
+	// question is the question that Run answers next, nil if there is none. asking
+	// admits one question at a time; Run does not lock it.
+	question atomic.Pointer[question]
+	asking   sync.Mutex
+	closed   atomic.Bool
 	// hasView is set once a view was applied.
 	hasView atomic.Bool
 	// cutOff is the last result of Steering.CutOff.
@@ -98,8 +107,10 @@
 	current      Stats
 	appliedView  *fleet.View
 	appliedLoads *steering.PeerLoads
-	lastTick     time.Duration
-	lastPublish  time.Duration
+	// appliedLoadsAt is when appliedLoads was applied.
+	appliedLoadsAt time.Duration
+	lastTick       time.Duration
+	lastPublish    time.Duration
 }
 
 // New opens the socket. The server handles no packets before Run.
@@ -237,17 +248,20 @@
 	}
 }
 
-// tick applies a new view and new peer loads. When their intervals have passed, it
+// tick applies a new view and new peer loads, and answers a question. When their intervals have passed, it
 // also ticks the steering and publishes the counters.
 func (s *Server) tick(now time.Duration) {
 	if v := s.view.Load(); v != s.appliedView {
 		s.setView(now, v)
 	}
 	if l := s.loads.Load(); l != s.appliedLoads {
-		s.appliedLoads = l
+		s.appliedLoads, s.appliedLoadsAt = l, now
 		s.cfg.Steering.SetPeerLoads(l)
 		s.cfg.Steering.SetZoneQueries(now, l.QueriedZones, l.ZoneAnswers)
 	}
+	if q := s.question.Load(); q != nil {
+		s.answer(now, q)
+	}
 	if now < s.lastTick+tickInterval {
 		return
 	}
@@ -266,6 +280,8 @@
 	stats.KnownTargets = s.cfg.Steering.NumTargets()
 	stats.UnreachableZones = s.cfg.Steering.Unreachable()
 	stats.Flows = uint64(s.cfg.Steering.NumFlows())
+	stats.ServiceTimes = s.cfg.Steering.ServiceTimes(now)
+	stats.SlowTargets = s.cfg.Steering.SlowTargets(now)
 	stats.Targets = s.cfg.Steering.TargetStats(now)
 	s.stats.Store(&stats)
 }
