--- a/coordination/steering/crosszone.go
+++ b/coordination/steering/crosszone.go
@@ -244,10 +244,11 @@
 // spreadOverflow replaces the target of another zone that has the lowest cost, which
 // is the same at all hosts, by one that depends on the flow's hash. If the zones offer
 // nothing more, as this zone can't even queue, the flow goes to a zone in proportion
-// to the room in the queues.
-func (s *Steering) spreadOverflow(now time.Duration, pl *pool, p *Segment, best, former *target) *target {
+// to the room in the queues. It also returns the zone that takes the flow, nil if the
+// target is not replaced.
+func (s *Steering) spreadOverflow(now time.Duration, pl *pool, p *Segment, best, former *target) (*target, *remoteZone) {
 	if best.remote == nil || now >= best.remote.ValidUntil || former != nil {
-		return best
+		return best, nil
 	}
 	r := best.remote
 	if r.full(p.Flow.Hash()) {
@@ -255,10 +256,9 @@
 	}
 	t := s.lessLoaded(now, pl, r.Zone, p)
 	if t == nil {
-		return best
+		return best, nil
 	}
-	r.placed++
-	return t
+	return t, r
 }
 
 // overflowZone chooses a zone in proportion to the requests that its targets can
--- a/coordination/steering/fastanswers.go
+++ b/coordination/steering/fastanswers.go
@@ -152,6 +152,9 @@
 	}
 	tooFast := r.answerTimes.addAnswer(took)
 	f.target.fastAnswers.addAnswer(now, tooFast)
+	if !tooFast {
+		s.learnServiceTime(now, f, p, took)
+	}
 	if tooFast || f.target.avoided {
 		p.selectAvoided(now)
 	}
@@ -205,6 +208,7 @@
 func (s *Steering) judgePools(now time.Duration) {
 	for _, p := range s.pools {
 		p.judgeSaturation()
+		p.judgeShare()
 		p.selectAvoided(now)
 	}
 }
