--- a/coordination/steering/crosszone_test.go
+++ b/coordination/steering/crosszone_test.go
@@ -96,12 +96,12 @@
 	full := func(at time.Duration) []crosszone.Zone {
 		return []crosszone.Zone{
 			summaryOf("a", at, crosszone.Service{Slots: 30, Busy: 70, Demand: 45}),
-			summaryOf("b", at, crosszone.Service{Slots: 30, Busy: 60, Demand: 45}),
-			summaryOf("c", at, crosszone.Service{Slots: 30, Busy: 75, Demand: 45}),
+			summaryOf("b", at, crosszone.Service{Slots: 30, Busy: 40, Demand: 40}), // far less loaded
+			summaryOf("c", at, crosszone.Service{Slots: 30, Busy: 60, Demand: 45}),
 		}
 	}
 	loads := map[Token]TargetLoad{}
-	peersBusy(w, loads, "a", 7) // of at most 9 that may wait
+	peersBusy(w, loads, "a", 8) // of at most 9 that may wait
 	w.rounds(2, loads, func(time.Duration) []crosszone.Zone { return nil })
 	is.Equal(w.placedBy(100)["a"], 0) // as without summaries
 	w.rounds(2, loads, full)
@@ -112,15 +112,21 @@
 	placed := w.placedBy(900)
 	t.Log(placed)
 	is.Equal(placed["a"], 0)
-	is.True(placed["b"] > placed["c"] && placed["c"] > 200) // by the room in the queues, 30 and 15
+	is.True(placed["b"] > placed["c"] && placed["c"] > 200) // by the room in the queues, 50 and 30
 
-	full1 := full
-	full = func(at time.Duration) []crosszone.Zone {
-		zones := full1(at)
+	// All queues are full. A third of those in the other zones is left to this one, whose
+	// flows would get nothing otherwise; once they use it up, they are dropped.
+	overfull := func(at time.Duration) []crosszone.Zone {
+		zones := full(at)
 		zones[1].Services[0].Busy, zones[2].Services[0].Busy = 90, 95
 		return zones
 	}
-	w.rounds(1, loads, full)
+	w.rounds(1, loads, overfull)
+	placed = w.placedBy(10)
+	is.Equal(placed["b"]+placed["c"], 10)
+	peersBusy(w, loads, "b", 3)
+	peersBusy(w, loads, "c", 3)
+	w.rounds(1, loads, overfull)
 	is.Equal(w.placedBy(10), map[string]int{CauseBusy.String(): 10})
 }
 
