--- a/coordination/steering/place.go
+++ b/coordination/steering/place.go
@@ -14,20 +14,42 @@
 	if pl == nil {
 		return nil, CauseNoTarget
 	}
+	c := s.choose(now, pl, p, r, former)
+	if c.target == nil {
+		return nil, c.cause
+	}
+	s.countColdOpening(now, c.target, pl.limits)
+	s.countBorrowed(now, c.target)
+	if c.overflow != nil {
+		c.overflow.placed++
+	}
+	return c.target, c.cause
+}
+
+// choice is the target for an opening, or the cause why there is none.
+type choice struct {
+	target *target
+	cause  Cause
+	// overflow is the other zone that takes the flow beyond the share that is sent
+	// away, nil if none does.
+	overflow *remoteZone
+}
+
+// choose selects a target of a pool for an opening. It changes no state.
+func (s *Steering) choose(now time.Duration, pl *pool, p *Segment, r *route, former *target) choice {
 	if t := s.placeAway(now, pl, p, former); t != nil {
-		return t, CausePlacedAway
+		return choice{target: t, cause: CausePlacedAway}
 	}
 	best, cause := s.lowestCost(now, pl, p, r, former)
 	if best == nil {
-		return nil, cause
+		return choice{cause: cause}
 	}
-	best = s.spreadOverflow(now, pl, p, best, former)
-	s.countColdOpening(now, best, pl.limits)
-	s.countBorrowed(now, best)
+	best, overflow := s.spreadOverflow(now, pl, p, best, former)
+	cause = CausePlaced
 	if best.entry.Zone != s.cfg.Zone {
-		return best, CausePlacedAway
+		cause = CausePlacedAway
 	}
-	return best, CausePlaced
+	return choice{target: best, cause: cause, overflow: overflow}
 }
 
 // lowestCost returns the target with the lowest cost, or nil and the reason why
--- a/coordination/steering/view.go
+++ b/coordination/steering/view.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/jujubehaven/jujubehaven/coordination/fleet"
+	"github.com/jujubehaven/jujubehaven/coordination/servicetime"
 	"github.com/jujubehaven/jujubehaven/protocol/packet"
 )
 
@@ -20,6 +21,8 @@
 type share struct {
 	pool   *pool
 	weight int
+	// times estimates the service times of the route's requests at the pool.
+	times *servicetime.Distribution
 }
 
 // pool holds the targets of one service that are not gone.
@@ -32,6 +35,11 @@
 	peersMean float64
 	// saturated is set while nearly all slots are in use.
 	saturated bool
+	// times estimates the mean service time of the pool's requests.
+	times *servicetime.Service
+	// ownKnowledge is how far the loads of the pool's targets follow from this host's
+	// own flows, from 0 to 1.
+	ownKnowledge float64
 }
 
 // SetView replaces the host's view. Open flows keep their targets.
@@ -39,16 +47,20 @@
 	if s.view == nil || s.view.Config.Version != v.Config.Version {
 		s.setConfig(&v.Config)
 	}
-	s.view = v
+	s.view, s.viewAt = v, now
 	s.setTargets(now, v)
 }
 
 // setConfig rebuilds the pools and routes from a configuration. What was learned of
 // a route's answer times is kept while the same services serve it.
 func (s *Steering) setConfig(c *fleet.Config) {
+	formerPools := s.pools
 	s.pools = make(map[string]*pool, len(c.Services))
 	for name, limits := range c.Services {
-		s.pools[name] = &pool{service: name, limits: limits}
+		s.pools[name] = &pool{service: name, limits: limits, times: &servicetime.Service{}}
+		if old := formerPools[name]; old != nil {
+			s.pools[name].times = old.times
+		}
 	}
 	former := s.routes
 	s.routes = make(map[packet.Endpoint]*route, len(c.Routes))
@@ -57,6 +69,7 @@
 		if old := former[c.Routes[i].Endpoint]; old != nil && old.sameServices(r) {
 			r.answerTimes = old.answerTimes
 		}
+		r.keepTimes(former[c.Routes[i].Endpoint])
 		s.routes[c.Routes[i].Endpoint] = r
 	}
 }
@@ -73,7 +86,7 @@
 		if p == nil || sh.Weight <= 0 {
 			continue
 		}
-		rt.shares = append(rt.shares, share{pool: p, weight: sh.Weight})
+		rt.shares = append(rt.shares, share{pool: p, weight: sh.Weight, times: &servicetime.Distribution{}})
 		rt.totalWeight += sh.Weight
 	}
 	return rt
@@ -93,8 +106,9 @@
 		t.shadowed = false
 		known[e.Key] = t
 		assignToken(tokens, t)
-		if p := s.pools[e.Service]; p != nil && !e.Gone {
-			p.targets = append(p.targets, t)
+		t.pool = s.pools[e.Service]
+		if t.pool != nil && !e.Gone {
+			t.pool.targets = append(t.pool.targets, t)
 		}
 	}
 	s.tokens = tokens
