--- a/coordination/fleet/types.go
+++ b/coordination/fleet/types.go
@@ -50,6 +50,13 @@
 	// Idempotent is set if callers may retry the route's requests after any
 	// failure.
 	Idempotent bool
+	// Objective is the time from a caller's first attempt to the answer within
+	// which a request has its full value; 0 means none.
+	Objective time.Duration
+	// Timeout is the time after which an answer has no value; 0 means none.
+	Timeout time.Duration
+	// Priority ranks the route when capacity is short; 0 is the highest.
+	Priority int
 }
 
 // ServiceLimits holds the capacity limits of a service's targets.
