Admit openings by what is left of their objective, priority and fair share

Cause: with more openings than the targets serve in time, hosts filled the same targets by loads of 200 to 400 ms ago and left others idle; late, low-priority and single callers' openings displaced all others.

Change, with balancing.admission only: package coordination/overload decides up to which load an opening may be placed; steering holds a host's requests to its share of the slots and spreads openings by weights from the old loads.

--- a/coordination/steering/api.go
+++ b/coordination/steering/api.go
@@ -116,6 +116,23 @@
 	// CauseTargetSilent is a packet of a flow that is reset because its target
 	// answers no caller.
 	CauseTargetSilent
+	// The following causes exist only with Balancing.Admission. They are openings that
+	// find less capacity than others, as they give way to them: they are dropped until
+	// the caller retransmits them, or refused if it will not.
+
+	// CauseLate is an opening that can't be served within its route's objective and
+	// finds no free slot.
+	CauseLate
+	// CausePastTimeout is an opening that is refused because its answer would come
+	// after the route's timeout.
+	CausePastTimeout
+	// CausePriority is an opening that leaves capacity to routes of higher priority.
+	CausePriority
+	// CauseFairShare is an opening of a caller that had more than its fair share of
+	// the openings admitted in the last second.
+	CauseFairShare
+	// CauseRetryBudget is a repeated opening beyond the service's retry budget.
+	CauseRetryBudget
 	// CauseCount is the number of causes.
 	CauseCount
 )
@@ -125,7 +142,8 @@
 	names := [CauseCount]string{
 		"known", "placed", "placed-away", "replaced", "not-ready", "no-route",
 		"no-target", "target-gone", "unknown-token", "forged", "cold-limit", "busy",
-		"no-capacity", "target-silent",
+		"no-capacity", "target-silent", "late", "past-timeout", "priority", "fair-share",
+		"retry-budget",
 	}
 	if c < CauseCount {
 		return names[c]
--- a/coordination/steering/fastanswers.go
+++ b/coordination/steering/fastanswers.go
@@ -57,12 +57,17 @@
 
 // addSample adds the answer time of a request that found a free slot.
 func (m *medianEstimate) addSample(took time.Duration) {
+	m.addSampleWithStep(took, medianStep)
+}
+
+// addSampleWithStep adds an answer time that moves the estimate by a fraction of it.
+func (m *medianEstimate) addSampleWithStep(took time.Duration, fraction float64) {
 	m.samples++
 	if m.samples == 1 {
 		m.median = took
 		return
 	}
-	step := time.Duration(medianStep * float64(m.median))
+	step := time.Duration(fraction * float64(m.median))
 	switch {
 	case took > m.median:
 		m.median += step
@@ -105,7 +110,7 @@
 // the time of an answer.
 func (s *Steering) recordAnswerTime(now time.Duration, r *route, f *flow, took time.Duration) {
 	p := s.pools[f.target.entry.Service]
-	if !f.foundFreeSlot || p == nil || p.saturated {
+	if !f.foundFreeSlot || p == nil || p.saturated || s.short(now, p) {
 		return
 	}
 	tooFast := r.answerTime.tooFast(took)
--- a/coordination/steering/openings.go
+++ b/coordination/steering/openings.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/jujubehaven/jujubehaven/coordination/overload"
 	"github.com/jujubehaven/jujubehaven/protocol/verdict"
 )
 
@@ -21,7 +22,7 @@
 	}
 	t, cause := s.place(now, p, r, former)
 	if t == nil {
-		s.rejectOpening(p, a, cause)
+		s.rejectOpening(p, r, a, cause)
 		return
 	}
 	if f == nil {
@@ -40,10 +41,11 @@
 	s.forward(now, t, a, cause)
 }
 
-// rejectOpening drops an opening that gets no target if the cause is CauseBusy,
-// so that the caller retransmits it, and refuses it for any other cause.
-func (s *Steering) rejectOpening(p *Segment, a *Action, cause Cause) {
-	if cause == CauseBusy {
+// rejectOpening drops an opening that gets no target now but may get one when the
+// caller retransmits it, and refuses any other.
+func (s *Steering) rejectOpening(p *Segment, r *route, a *Action, cause Cause) {
+	s.counts.RejectedOpenings[overload.Class(r.priority)][cause]++
+	if cause.waits() && p.Copy < lastCopy {
 		a.Cause = cause
 		return
 	}
--- a/coordination/steering/place.go
+++ b/coordination/steering/place.go
@@ -14,7 +14,9 @@
 	if pl == nil {
 		return nil, CauseNoTarget
 	}
-	best, cause := s.lowestCost(now, pl, p, former)
+	ad := s.admit(now, p, r, pl)
+	best, cause := s.lowestCost(now, pl, p, former, &ad)
+	s.recordAdmission(now, pl, &ad, best, cause)
 	if best == nil {
 		return nil, cause
 	}
@@ -28,9 +30,8 @@
 // lowestCost returns the target with the lowest cost, or nil and the reason why
 // there is none. In a large zone it compares a few targets, chosen by the flow's
 // hash, as long as one of them has a free slot.
-func (s *Steering) lowestCost(now time.Duration, pl *pool, p *Segment, former *target) (*target, Cause) {
+func (s *Steering) lowestCost(now time.Duration, pl *pool, p *Segment, former *target, ad *admission) (*target, Cause) {
 	hash := p.Flow.Hash()
-	limit := s.queueLimit(p.Copy)
 	var best *target
 	var bestCost float64
 	var sampled sample
@@ -44,18 +45,25 @@
 			cause = max(cause, CauseColdLimit)
 			continue
 		}
-		if t.queuedPerSlot() >= limit {
-			cause = queueFullCause(p.Copy)
+		if ad.full(t, t.entry.Zone == s.cfg.Zone) {
+			cause = ad.fullCause(p.Copy)
 			continue
 		}
 		cost := s.cost(now, t, hash) + formerTargetPenalty(t, former, s.cfg.Zone)
 		if best == nil || cost < bestCost {
 			best, bestCost = t, cost
 		}
+		if ad.spread.active {
+			ad.spread.add(t, cost, s.load(now, t), rendezvous.Mix(hash, t.entry.Number))
+			continue
+		}
 		if sampling && cost < freeSlotCost {
 			sampled.add(t, cost, rendezvous.Mix(hash, t.entry.Number))
 		}
 	}
+	if ad.spread.best != nil {
+		return ad.spread.best, cause
+	}
 	if t := sampled.cheapest(); t != nil {
 		return t, cause
 	}
--- a/coordination/steering/steering.go
+++ b/coordination/steering/steering.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/jujubehaven/jujubehaven/coordination/fleet"
+	"github.com/jujubehaven/jujubehaven/coordination/overload"
 	"github.com/jujubehaven/jujubehaven/protocol/packet"
 	"github.com/jujubehaven/jujubehaven/protocol/verdict"
 )
@@ -91,6 +92,9 @@
 	// RepeatedOpenings counts retransmitted openings, RepeatedData retransmitted
 	// data packets.
 	RepeatedOpenings, RepeatedData uint64
+	// RejectedOpenings counts openings that got no target, by the priority class of
+	// their route and cause.
+	RejectedOpenings [overload.NumPriorities][CauseCount]uint64
 	// Silenced counts how often a target became silent.
 	Silenced uint64
 }
@@ -220,6 +224,7 @@
 		f.open, f.ack = true, p.Ack // another host's opening reached this target
 	}
 	s.observe(now, p, r, f, a)
+	s.observeAdmission(r, f, a)
 	s.forward(now, t, a, CauseKnown)
 }
 
--- a/coordination/steering/view.go
+++ b/coordination/steering/view.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/jujubehaven/jujubehaven/coordination/fleet"
+	"github.com/jujubehaven/jujubehaven/coordination/overload"
 	"github.com/jujubehaven/jujubehaven/protocol/packet"
 )
 
@@ -14,6 +15,13 @@
 	totalWeight int
 	idempotent  bool
 	answerTime  medianEstimate
+	// roundTrip is the time from an opening to the end of its handshake.
+	roundTrip medianEstimate
+	// served is the time of service of requests and the round trip to their caller.
+	served medianEstimate
+	// objective, timeout and priority are those of the configuration.
+	objective, timeout time.Duration
+	priority           int
 }
 
 // share is a pool's weight in a route.
@@ -29,6 +37,8 @@
 	targets []*target
 	// saturated is set while nearly all slots are in use.
 	saturated bool
+	// demand holds what admission knows about the pool's openings.
+	demand *overload.Service
 }
 
 // SetView replaces the host's view. Open flows keep their targets.
@@ -43,16 +53,21 @@
 // setConfig rebuilds the pools and routes from a configuration. What was learned of
 // a route's answer times is kept while the same services serve it.
 func (s *Steering) setConfig(c *fleet.Config) {
+	formerPools := s.pools
 	s.pools = make(map[string]*pool, len(c.Services))
 	for name, limits := range c.Services {
-		s.pools[name] = &pool{service: name, limits: limits}
+		p := &pool{service: name, limits: limits, demand: &overload.Service{}}
+		if old := formerPools[name]; old != nil {
+			p.demand = old.demand
+		}
+		s.pools[name] = p
 	}
 	former := s.routes
 	s.routes = make(map[packet.Endpoint]*route, len(c.Routes))
 	for i := range c.Routes {
 		r := newRoute(&c.Routes[i], s.pools)
 		if old := former[c.Routes[i].Endpoint]; old != nil && old.sameServices(r) {
-			r.answerTime = old.answerTime
+			r.answerTime, r.roundTrip, r.served = old.answerTime, old.roundTrip, old.served
 		}
 		s.routes[c.Routes[i].Endpoint] = r
 	}
@@ -64,7 +79,7 @@
 }
 
 func newRoute(r *fleet.Route, pools map[string]*pool) *route {
-	rt := &route{idempotent: r.Idempotent}
+	rt := &route{idempotent: r.Idempotent, objective: r.Objective, timeout: r.Timeout, priority: r.Priority}
 	for _, sh := range r.Shares {
 		p := pools[sh.Service]
 		if p == nil || sh.Weight <= 0 {
--- a/internal/tokenhost/metrics.go
+++ b/internal/tokenhost/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -23,6 +24,7 @@
 	received, undecodable, decisions, sendErrors      *prometheus.Desc
 	waited                                            *prometheus.Desc
 	repeatedOpenings, repeatedData, silenced, flows   *prometheus.Desc
+	rejectedOpenings                                  *prometheus.Desc
 	targetFlows, targetRequests, targetSilent         *prometheus.Desc
 	unreachableZones                                  *prometheus.Desc
 	storeCalls, storeFailures, viewAge                *prometheus.Desc
@@ -45,6 +47,7 @@
 		decisions:        newDesc("decisions_total", "Packets by what was done and why.", "action", "cause"),
 		sendErrors:       newDesc("send_errors_total", "Packets that the system did not send."),
 		repeatedOpenings: newDesc("repeated_openings_total", "Openings that callers repeated."),
+		rejectedOpenings: newDesc("openings_rejected_total", "Openings that got no target, by the priority of their route and cause.", "priority", "cause"),
 		repeatedData:     newDesc("repeated_data_total", "Packets with data that callers repeated."),
 		silenced:         newDesc("target_silenced_total", "How often a target was found not to answer."),
 		flows:            newDesc("flows", "Flows that this host remembers."),
@@ -76,7 +79,7 @@
 	return []*prometheus.Desc{
 		c.received, c.waited, c.undecodable, c.decisions, c.sendErrors, c.repeatedOpenings, c.repeatedData, c.silenced, c.flows,
 		c.targetFlows, c.targetRequests, c.targetSilent, c.unreachableZones, c.storeCalls, c.storeFailures, c.viewAge, c.feeds,
-		c.storeEpoch, c.storeRestores, c.keptEntries,
+		c.storeEpoch, c.storeRestores, c.keptEntries, c.rejectedOpenings,
 		c.configVersion, c.rejectedEntries, c.ready, c.gossipSent, c.gossipSentBytes, c.gossipReceived, c.zoneHosts,
 		c.readsStore, c.linesLeftOut, c.linesDropped,
 	}
@@ -128,6 +131,11 @@
 		out.counter(c.decisions, s.Counts.Forwarded[cause], "forward", cause.String())
 		out.counter(c.decisions, s.Counts.Dropped[cause], "drop", cause.String())
 		out.counter(c.decisions, s.Counts.Resets[cause], "reset", cause.String())
+		for priority := range s.Counts.RejectedOpenings {
+			if n := s.Counts.RejectedOpenings[priority][cause]; n > 0 {
+				out.counter(c.rejectedOpenings, n, strconv.Itoa(priority), cause.String())
+			}
+		}
 	}
 	for _, t := range selectTargets(s.Targets) {
 		key := string(t.Key)
