Let openings give way only where loads are exact or averaged

Cause: hosts of zones of 2 to 8 compare targets by reports that are 200 to 400 ms old and find all targets full at times at 0.6 of the capacity.

Change: in these zones only the objective and the timeout limit an opening; all targets are compared as before. The whole decision holds in larger zones and on a single host. The momentary load from which capacity is short is 3 after 2, which a single host reached at 0.6.

Ruled out, as the rule for small zones says that all targets are compared: the weighted choice in small zones.

--- a/coordination/overload/overload.go
+++ b/coordination/overload/overload.go
@@ -19,9 +19,6 @@
 	minQueue, maxQueue = 2.0, 4.0
 	queueStepDown      = 0.06
 	queueStepUp        = queueStepDown / 29
-	// waitMargin multiplies the expected time in a queue and in service, whose length
-	// varies and is known late.
-	waitMargin = 1.5
 	// freeSlot is the limit of openings that are placed only at free slots.
 	freeSlot = 1.0
 	// repeatedLimit is the limit of retransmitted openings while the service time
@@ -56,7 +53,7 @@
 	// 1.5 in 30% of the time and 1.8 in 0.4%, as old reports lead to queues.
 	crowdedLoad = 0.9
 	shortLoad   = 1.8
-	burstLoad   = 2
+	burstLoad   = 3
 	// loadSmoothing and ownSmoothing are the time constants of the smoothed loads.
 	loadSmoothing = 500 * time.Millisecond
 	ownSmoothing  = 100 * time.Millisecond
@@ -101,6 +98,8 @@
 	Service time.Duration
 	// RoundTrip is the network delay from this host to the caller and back.
 	RoundTrip time.Duration
+	// Margin multiplies the expected time in a queue and in service; 0 means 1.
+	Margin float64
 }
 
 // Reason says why the limit of an opening is lower than that of others.
@@ -174,8 +173,7 @@
 // Decide returns the limit of an opening and counts it as seen.
 func (s *Service) Decide(now time.Duration, o *Opening, t Times) Decision {
 	s.seen[Class(o.Priority)].add(now)
-	d := s.inTime(o, t)
-	d.InTime = d.Limit
+	d := s.InTime(o, t)
 	if d.Limit == 0 || !s.Short(now) {
 		return d
 	}
@@ -194,8 +192,16 @@
 	return d
 }
 
-// inTime returns the limit up to which an opening is served within its objective:
-// (requests per slot + 1) x service time has to fit into what is left of it.
+// InTime returns the limit up to which an opening is served within its objective, without
+// regard to others.
+func (s *Service) InTime(o *Opening, t Times) Decision {
+	d := s.inTime(o, t)
+	d.InTime = d.Limit
+	return d
+}
+
+// inTime returns the limit from (requests per slot + 1) x service time, which has to fit
+// into what is left of the objective.
 func (s *Service) inTime(o *Opening, t Times) Decision {
 	elapsed := Elapsed(o.Copy)
 	if o.Timeout > 0 && elapsed+t.RoundTrip+t.Service > o.Timeout {
@@ -208,7 +214,8 @@
 	if left < t.Service {
 		return Decision{Limit: freeSlot, Reason: ReasonLate}
 	}
-	return Decision{Limit: max(freeSlot, min(s.maxQueue(), float64(left)/(waitMargin*float64(t.Service))-1))}
+	expected := max(t.Margin, 1) * float64(t.Service)
+	return Decision{Limit: max(freeSlot, min(s.maxQueue(), float64(left)/expected-1))}
 }
 
 // unknownLimit returns the limit of an opening whose objective or service time is
--- a/coordination/steering/admission.go
+++ b/coordination/steering/admission.go
@@ -23,6 +23,9 @@
 	// fraction of it. With 0.05 the answers that had waited unnoticed, in the 400 ms
 	// until a burst is known, raised it by half.
 	servedStep = 0.01
+	// oldLoadMargin multiplies the expected wait where loads of targets are old and the
+	// target is chosen by their mean.
+	oldLoadMargin = 1.5
 	// maxInNetwork bounds the requests per slot that are on their way to or from a
 	// target and occupy no slot.
 	maxInNetwork = 0.5
@@ -50,6 +53,8 @@
 	opening overload.Opening
 	// active is set if the decision follows from Balancing.Admission.
 	active bool
+	// givesWay is set if openings give way to others while capacity is short.
+	givesWay bool
 	// ownZoneLimit and otherZoneLimit are the numbers of requests at a target of this
 	// host's zone and of another one, in multiples of its slots, from which the opening
 	// is not placed there.
@@ -73,10 +78,17 @@
 	load := s.poolLoad(pl)
 	times := r.times()
 	pl.demand.SetLoad(now, load.perSlot, load.ownPerSlot())
+	if s.comparesOldLoads() {
+		ad.Decision = pl.demand.InTime(&ad.opening, times)
+		ad.ownZoneLimit, ad.otherZoneLimit = ad.Limit, ad.Limit
+		return ad
+	}
+	ad.givesWay = true
+	times.Margin = oldLoadMargin
 	ad.Decision = pl.demand.Decide(now, &ad.opening, times)
 	ad.ownZoneLimit, ad.otherZoneLimit = ad.Limit, ad.Limit
 	ad.ownZoneFull = pl.demand.Short(now) && load.full(ad.Limit+inNetwork(times))
-	if s.peerLoads != nil && s.peerLoads.Hosts > maxComparingHosts {
+	if s.peerLoads.Hosts > maxComparingHosts {
 		ad.spread = newSpread(load.perSlot, times.Service)
 		if ad.Limit > 0 && ad.Reason != overload.ReasonLate {
 			// The limit holds for the mean of the targets. A limit on old loads of
@@ -87,6 +99,14 @@
 	return ad
 }
 
+// comparesOldLoads reports whether the host compares targets by loads that others have
+// reported. A shortage is then no matter of capacity only: at 0.6 of it hosts of zones of
+// 6 and 8 hosts found all targets full at times, by old loads, and openings that gave way
+// to others were dropped for nothing. So openings do not give way there.
+func (s *Steering) comparesOldLoads() bool {
+	return s.peerLoads == nil || (s.peerLoads.Hosts > 1 && s.peerLoads.Hosts <= maxComparingHosts)
+}
+
 // poolLoad is the load of a pool's targets in this host's zone.
 type poolLoad struct {
 	// own is the number of this host's requests, ownShare the number of slots that are
@@ -201,7 +221,7 @@
 // recordAdmission records what became of an opening.
 func (s *Steering) recordAdmission(now time.Duration, pl *pool, ad *admission, t *target, cause Cause) {
 	switch {
-	case !ad.active:
+	case !ad.givesWay:
 	case t != nil:
 		pl.demand.Admitted(now, &ad.opening)
 	case cause.waits() || cause == CauseNoCapacity:
