Refuse at once an opening whose next copy would be late

Cause: an opening that was dropped came again at 200 ms, was refused at 600 ms and began its next attempt then, late and taken for a first one by its host.

Change: in zones of more than 8 hosts a first copy that has less than 8 times the time of service left at 200 ms is refused at once when it is not placed; the next attempt reaches another host within milliseconds. The largest queue adapts to a twentieth of rejections after a thirtieth.

TestRefusesAtOnceWhatIsLateNextTime and TestOpeningThatIsLateNextTimeIsRefusedAtOnce are new and did not compile or pass before; the least shares of the replays are higher.

--- a/coordination/overload/overload.go
+++ b/coordination/overload/overload.go
@@ -14,11 +14,11 @@
 	// hosts do not know.
 	initialQueue = 3.0
 	// minQueue and maxQueue bound the adapted value. The step down for an answer that
-	// shows a full queue and the step up for any other one balance when a thirtieth of
+	// shows a full queue and the step up for any other one balance when a twentieth of
 	// the requests that find no free slot are rejected.
 	minQueue, maxQueue = 2.0, 4.0
 	queueStepDown      = 0.06
-	queueStepUp        = queueStepDown / 29
+	queueStepUp        = queueStepDown / 19
 	// freeSlot is the limit of openings that are placed only at free slots.
 	freeSlot = 1.0
 	// repeatedLimit is the limit of retransmitted openings while the service time
@@ -39,6 +39,9 @@
 	// fairReserve is the part of the queue that callers over their fair share leave
 	// to the others.
 	fairReserve = 1.0
+	// refusedWait is the number of service times that have to fit into what is left of
+	// the objective at the next copy for an opening to be dropped until then.
+	refusedWait = 8
 	// retryShare is the largest share of repeated openings among those admitted
 	// while first openings are turned away.
 	retryShare = 0.2
@@ -131,6 +134,9 @@
 	InTime float64
 	// Reason is why Limit is lower than that of others.
 	Reason Reason
+	// AtOnce is set if the opening is refused at once when it is not placed, so that the
+	// caller tries again elsewhere: its next copy would come too late.
+	AtOnce bool
 }
 
 // Service is what a host knows about the demand for one service.
@@ -174,6 +180,7 @@
 func (s *Service) Decide(now time.Duration, o *Opening, t Times) Decision {
 	s.seen[Class(o.Priority)].add(now)
 	d := s.InTime(o, t)
+	d.AtOnce = tooLateNextTime(o, t)
 	if d.Limit == 0 || !s.Short(now) {
 		return d
 	}
@@ -192,6 +199,15 @@
 	return d
 }
 
+// tooLateNextTime reports whether the opening's next copy could hardly be in time.
+// Where it is refused at once, the caller's next attempt reaches another host within
+// milliseconds. An attempt after a drop and a refusal begins at 600 ms, which is late,
+// and no host can tell it from a first one.
+func tooLateNextTime(o *Opening, t Times) bool {
+	left := o.Objective - firstRetransmission - t.RoundTrip
+	return o.Copy == 0 && o.Objective > 0 && t.Service > 0 && left < refusedWait*t.Service
+}
+
 // InTime returns the limit up to which an opening is served within its objective, without
 // regard to others.
 func (s *Service) InTime(o *Opening, t Times) Decision {
--- a/coordination/overload/overload_test.go
+++ b/coordination/overload/overload_test.go
@@ -87,6 +87,20 @@
 	is.Equal(s.Decide(now+15*time.Second, &high, Times{}).Limit, initialQueue)
 }
 
+// Guards against callers that wait for their next copy until their request is late,
+// although another attempt at another host would be in time.
+func TestRefusesAtOnceWhatIsLateNextTime(t *testing.T) {
+	is := is.New(t)
+	var s Service
+	times := Times{Service: 50 * ms, RoundTrip: 6 * ms}
+	atOnce := func(o Opening, t Times) bool { return s.Decide(now, &o, t).AtOnce }
+	is.True(atOnce(Opening{Objective: 400 * ms}, times))
+	is.True(!atOnce(Opening{Objective: 1200 * ms}, times))
+	is.True(!atOnce(Opening{Objective: 400 * ms, Copy: 1}, times)) // it is late: any answer counts
+	is.True(!atOnce(Opening{Objective: 400 * ms}, Times{}))
+	is.True(!atOnce(Opening{}, times))
+}
+
 // Guards against openings that give way to others while there is capacity for all.
 func TestNothingGivesWayWhileCapacitySuffices(t *testing.T) {
 	is := is.New(t)
--- a/coordination/steering/admission_test.go
+++ b/coordination/steering/admission_test.go
@@ -136,3 +136,19 @@
 	is.Equal(w.caller(3, feeds).open(lastCopy).Cause, CauseNoCapacity)
 	is.Equal(w.caller(4, feeds).open(lastCopy).Kind, Reset)
 }
+
+// Guards against callers that wait for their next copy although the request would be
+// late then: a refusal lets them try another host at once.
+func TestOpeningThatIsLateNextTimeIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	w := admitting(t)
+	w.learnTimes(60*time.Millisecond, feeds)
+	w.fill(6)
+	is.Equal(w.caller(1, feeds).open(0).Kind, Drop) // the next attempt reaches this host again
+	w.SetPeerLoads(&PeerLoads{Hosts: 20, Settled: true})
+	a := w.caller(2, feeds).open(0)
+	is.Equal(a.Kind, Reset)
+	is.Equal(a.Cause, CauseNoCapacity)
+	is.Equal(a.Run, verdict.NotRun)
+	is.Equal(w.caller(3, feeds).open(1).Kind, Drop) // it waits for its last copy
+}
--- a/coordination/steering/admissionreplay_test.go
+++ b/coordination/steering/admissionreplay_test.go
@@ -302,9 +302,9 @@
 	{"ordinary load 0.6", []*loadClass{ordersClass, feedsClass}, steadyFrom, loadEnd, ordinaryLoad, []float64{0.99, 0.99}, true, largeZone},
 	{"ordinary load 0.6, small zone", []*loadClass{ordersClass, feedsClass}, steadyFrom, loadEnd, ordinaryLoad, []float64{0.99, 0.99}, true, smallZone},
 	{"ordinary load 0.6, single host", []*loadClass{ordersClass, feedsClass}, steadyFrom, loadEnd, ordinaryLoad, []float64{0.99, 0.99}, true, singleHost},
-	{"all hosts back after 1.5 s", []*loadClass{ordersClass, feedsClass}, burstFrom, loadEnd, allHostsBack, []float64{0.75, 0.5}, false, largeZone},
+	{"all hosts back after 1.5 s", []*loadClass{ordersClass, feedsClass}, burstFrom, loadEnd, allHostsBack, []float64{0.77, 0.6}, false, largeZone},
 	{"all hosts back after 1.5 s, small zone", []*loadClass{ordersClass, feedsClass}, burstFrom, loadEnd, allHostsBack, []float64{0.6, 0.5}, false, smallZone},
-	{"burst 1.8 of the higher priority", []*loadClass{ordersClass, feedsClass}, burstFrom, burstTo, higherPriorityBurst, []float64{0.95, 0}, false, largeZone},
+	{"burst 1.8 of the higher priority", []*loadClass{ordersClass, feedsClass}, burstFrom, burstTo, higherPriorityBurst, []float64{0.98, 0.15}, false, largeZone},
 	{"burst 1.8 of the higher priority, small zone", []*loadClass{ordersClass, feedsClass}, burstFrom, burstTo, higherPriorityBurst, []float64{0.6, 0.5}, false, smallZone},
 	{"burst 1.8 of the higher priority, single host", []*loadClass{ordersClass, feedsClass}, burstFrom, burstTo, higherPriorityBurst, []float64{0.9, 0}, false, singleHost},
 	{"burst 2.5 of downloads, other service", []*loadClass{ordersClass, feedsClass, otherDownload}, burstFrom, burstTo, func(z *loadReplay) {
@@ -318,14 +318,14 @@
 		z.offer(feedsClass, steadyFrom, loadEnd, 0.15)
 		z.offer(downloadClass, steadyFrom, loadEnd, 0.3)
 		z.offer(downloadClass, burstFrom, burstTo, 0.3*1.5)
-	}, []float64{0.95, 0.93, 0.45}, false, largeZone},
+	}, []float64{0.96, 0.95, 0.5}, false, largeZone},
 	{"zone lost at 0.75", []*loadClass{ordersClass, feedsClass}, burstFrom, burstTo, func(z *loadReplay) {
 		// The zone takes over half of the callers of another zone of its size.
 		z.offer(ordersClass, steadyFrom, loadEnd, 0.375)
 		z.offer(feedsClass, steadyFrom, loadEnd, 0.375)
 		z.offer(ordersClass, burstFrom, burstTo, 0.375/2)
 		z.offer(feedsClass, burstFrom, burstTo, 0.375/2)
-	}, []float64{0.95, 0.2}, false, largeZone},
+	}, []float64{0.98, 0.3}, false, largeZone},
 	{"half of the requests rejected by a quarter of targets", []*loadClass{ordersClass, feedsClass}, burstFrom, burstTo, func(z *loadReplay) {
 		z.offer(ordersClass, steadyFrom, loadEnd, 0.35)
 		z.offer(feedsClass, steadyFrom, loadEnd, 0.35)
@@ -336,11 +336,11 @@
 	{"one caller with 100 flows", []*loadClass{lightClass, heavyClass}, burstFrom, burstTo, func(z *loadReplay) {
 		z.offer(lightClass, steadyFrom, loadEnd, 0.6)
 		z.offer(heavyClass, burstFrom, burstTo, 0.6)
-	}, []float64{0.97, 0.15}, false, largeZone},
+	}, []float64{0.98, 0.4}, false, largeZone},
 	{"burst 2.5 of one caller", []*loadClass{lightClass, heavyClass}, burstFrom, burstTo, func(z *loadReplay) {
 		z.offer(lightClass, steadyFrom, loadEnd, 0.6)
 		z.offer(heavyClass, burstFrom, burstTo, 0.6*1.5)
-	}, []float64{0.97, 0.12}, false, largeZone},
+	}, []float64{0.98, 0.3}, false, largeZone},
 }
 
 // play replays a load pattern.
--- a/coordination/steering/api.go
+++ b/coordination/steering/api.go
@@ -111,7 +111,7 @@
 	// because the queues of all targets are full.
 	CauseBusy
 	// CauseNoCapacity is an opening that is refused because the queues of all
-	// targets are full and the caller will not retransmit it.
+	// targets are full and the caller will not retransmit it, or only when it is late.
 	CauseNoCapacity
 	// CauseTargetSilent is a packet of a flow that is reset because its target
 	// answers no caller.
--- a/coordination/steering/openings.go
+++ b/coordination/steering/openings.go
@@ -20,9 +20,9 @@
 	if f != nil && !s.reusesPort(now, f) {
 		former = f.target
 	}
-	t, cause := s.place(now, p, r, former)
+	t, cause, atOnce := s.place(now, p, r, former)
 	if t == nil {
-		s.rejectOpening(p, r, a, cause)
+		s.rejectOpening(p, r, a, cause, atOnce)
 		return
 	}
 	if f == nil {
@@ -42,10 +42,11 @@
 }
 
 // rejectOpening drops an opening that gets no target now but may get one when the
-// caller retransmits it, and refuses any other.
-func (s *Steering) rejectOpening(p *Segment, r *route, a *Action, cause Cause) {
+// caller retransmits it, and refuses any other. atOnce is set if it is refused although
+// the caller would retransmit it.
+func (s *Steering) rejectOpening(p *Segment, r *route, a *Action, cause Cause, atOnce bool) {
 	s.counts.RejectedOpenings[overload.Class(r.priority)][cause]++
-	if cause.waits() && p.Copy < lastCopy {
+	if cause.waits() && p.Copy < lastCopy && !atOnce {
 		a.Cause = cause
 		return
 	}
--- a/coordination/steering/place.go
+++ b/coordination/steering/place.go
@@ -7,24 +7,25 @@
 )
 
 // place selects a target for a new flow. former is the target that the previous
-// opening with the same addresses and ports was sent to, nil if there was none.
-func (s *Steering) place(now time.Duration, p *Segment, r *route, former *target) (*target, Cause) {
+// opening with the same addresses and ports was sent to, nil if there was none. The
+// last result is set if the opening is to be refused at once if there is no target.
+func (s *Steering) place(now time.Duration, p *Segment, r *route, former *target) (*target, Cause, bool) {
 	hash := p.Flow.Hash()
 	pl := r.choosePool(hash)
 	if pl == nil {
-		return nil, CauseNoTarget
+		return nil, CauseNoTarget, false
 	}
 	ad := s.admit(now, p, r, pl)
 	best, cause := s.lowestCost(now, pl, p, former, &ad)
 	s.recordAdmission(now, pl, &ad, best, cause)
 	if best == nil {
-		return nil, cause
+		return nil, cause, ad.AtOnce
 	}
 	s.countColdOpening(now, best, pl.limits)
 	if best.entry.Zone != s.cfg.Zone {
-		return best, CausePlacedAway
+		return best, CausePlacedAway, false
 	}
-	return best, CausePlaced
+	return best, CausePlaced, false
 }
 
 // lowestCost returns the target with the lowest cost, or nil and the reason why
