Let a host that the store refuses since its start take its view from a peer

Such a host had no view and was not ready, although other hosts have the table: KindFetch serves changes only. Protocol 2 is of builds that serve tables.

Until a list, or the checksum of a reader that the store answers, confirms the table, the host behaves as in an outage of the store: nothing counts as gone, its calls are lists, and it tells others no checksum.

--- a/coordination/fleet/directory.go
+++ b/coordination/fleet/directory.go
@@ -303,6 +303,15 @@
 	return gone
 }
 
+// Size returns the number of targets, those that are gone included.
+func (d *Directory) Size() int { return len(d.targets) }
+
+// IsMissing reports whether a target is missing.
+func (d *Directory) IsMissing(key TargetKey) bool {
+	e := d.targets[key]
+	return e != nil && e.Missing
+}
+
 // TargetKeys returns the keys of the targets that are not gone.
 func (d *Directory) TargetKeys() []TargetKey {
 	var keys []TargetKey
--- a/coordination/peers/reader.go
+++ b/coordination/peers/reader.go
@@ -195,6 +195,25 @@
 	return first
 }
 
+// TableFrom returns the hosts that may have a table for this one, in the order in
+// which they are asked: the zone's reader, then other hosts of the zone and of other
+// zones, those first that were heard of last.
+func (p *Peers) TableFrom(now time.Duration) []gossip.Host {
+	var list []gossip.Host
+	reader := p.otherReader(now)
+	if reader != nil && reader.host.Protocol >= gossip.TableProtocol {
+		list = append(list, reader.host)
+	}
+	for _, ownZone := range []bool{true, false} {
+		for _, other := range p.recent() {
+			if other != reader && (other.host.Zone == p.self.Zone) == ownZone && other.host.Protocol >= gossip.TableProtocol {
+				list = append(list, other.host)
+			}
+		}
+	}
+	return list
+}
+
 // FetchFrom returns the hosts from which this one requests changes of the store
 // that it lacks: the zone's reader, or a few hosts of other zones if this host
 // knows no other reader.
--- a/coordination/peers/reader_test.go
+++ b/coordination/peers/reader_test.go
@@ -125,6 +125,23 @@
 	is.Equal(small.FetchFrom(0), []gossip.Host{first})
 }
 
+// A table comes from the zone's reader first, then from other hosts of the zone, then
+// from those of other zones, never from a build that serves none.
+func TestTableFrom(t *testing.T) {
+	is := is.New(t)
+	p, hosts := largeZone(20)
+	is.Equal(len(p.TableFrom(0)), len(hosts)) // largeZone's hosts are of this build
+	old, far := simIdentity(60), simIdentity(61)
+	old.Protocol, far.Zone = gossip.TableProtocol-1, "b"
+	p.Receive(time.Second, &gossip.Message{Kind: gossip.KindHello, From: old})
+	p.Receive(time.Second, &gossip.Message{Kind: gossip.KindHello, From: far})
+	p.Receive(time.Second, digest(hosts[5], true))
+	list := p.TableFrom(time.Second)
+	is.Equal(len(list), len(hosts)+1)
+	is.Equal(list[0], hosts[5])
+	is.Equal(list[len(list)-1], far)
+}
+
 // Guards against a host that was frozen and takes over from a living reader: the
 // digests of that time wait unread in its socket.
 func TestStalledHostDoesNotTakeOver(t *testing.T) {
--- a/internal/tokenhost/local.go
+++ b/internal/tokenhost/local.go
@@ -34,6 +34,12 @@
 // ChangesSince implements gossip.Local.
 func (l local) ChangesSince(after store.Position) *wire.Feed { return l.h.follower.ChangesSince(after) }
 
+// TablePage implements gossip.Local.
+func (l local) TablePage(after store.Key) *wire.TablePage { return l.h.follower.TablePage(after) }
+
+// HandleTable implements gossip.Local.
+func (l local) HandleTable(p *wire.TablePage, from string) { l.h.follower.ApplyTablePage(p, from) }
+
 // HandleReader implements gossip.Local.
 func (l local) HandleReader() { l.h.follower.Wake() }
 
--- a/protocol/gossip/check.go
+++ b/protocol/gossip/check.go
@@ -20,6 +20,9 @@
 	maxNesting = 8
 	// maxAge bounds the age of a feed. Longer ones could overflow a time.
 	maxAge = 365 * 24 * time.Hour
+	// maxHeld bounds the grace that a table hands on. It is several times what hosts
+	// use.
+	maxHeld = time.Minute
 )
 
 // decMode accepts only the forms of CBOR that the encoder writes.
@@ -58,12 +61,40 @@
 	if carriesFeed != (m.Feed != nil) {
 		return errors.Newf("gossip: message of kind %q: feed missing or not expected", m.Kind)
 	}
+	if (m.Kind == KindTableReply) != (m.Table != nil) {
+		return errors.Newf("gossip: message of kind %q: table missing or not expected", m.Kind)
+	}
+	if m.Table != nil {
+		return errors.Wrap(m.Table.check(), "gossip: table")
+	}
 	if m.Feed == nil {
 		return nil
 	}
 	return errors.Wrap(m.Feed.check(), "gossip: feed")
 }
 
+func (p *TablePage) check() error {
+	switch {
+	case p.AgeMS < 0 || p.AgeMS > maxAge.Milliseconds():
+		return errors.Newf("age of %d ms is not between 0 and %s", p.AgeMS, maxAge)
+	case p.HeldMS < 0 || p.HeldMS > maxHeld.Milliseconds():
+		return errors.Newf("grace of %d ms is not between 0 and %s", p.HeldMS, maxHeld)
+	case len(p.Entries) > maxElements:
+		return errors.Newf("%d entries exceed the limit of %d", len(p.Entries), maxElements)
+	case p.More && len(p.Entries) == 0:
+		return errors.New("page without entries that is not the last")
+	}
+	last := p.After
+	for i := range p.Entries {
+		key := p.Entries[i].Key
+		if !validKey(key) || key <= last {
+			return errors.Newf("key %q of entry %d does not follow %q", key, i, last)
+		}
+		last = key
+	}
+	return nil
+}
+
 func (f *Feed) check() error {
 	switch {
 	case f.End().Before(f.Start()):
--- a/protocol/gossip/feed_test.go
+++ b/protocol/gossip/feed_test.go
@@ -106,6 +106,53 @@
 	}
 }
 
+// tableMessage returns a message with a page of a table that uses all fields.
+func tableMessage() *Message {
+	m := testMessage()
+	m.Kind, m.Loads = KindTableReply, nil
+	m.Table = &TablePage{Epoch: 2, Index: 9, AgeMS: 1500, After: "o/config", More: true, HeldMS: 300, Entries: []TableEntry{
+		{Key: "o/out/a", Revision: 4}, {Key: "t/1", Value: []byte("entry"), Revision: 8, Missing: true},
+	}}
+	return m
+}
+
+func TestTableRoundTrip(t *testing.T) {
+	is := is.New(t)
+	b, err := Encode(tableMessage())
+	is.NoErr(err)
+	got, err := Decode(b)
+	is.NoErr(err)
+	is.Equal(cmp.Diff(*tableMessage(), got, cmp.Comparer(sameAddr)), "")
+}
+
+// Guards against tables that no host sends: one whose keys don't follow the requested
+// one would make a transfer go round in circles.
+func TestWrongTablesAreRejected(t *testing.T) {
+	for name, spoil := range map[string]func(m *Message){
+		"no table":            func(m *Message) { m.Table = nil },
+		"table in a feed":     func(m *Message) { m.Kind, m.Feed = KindFeed, &Feed{} },
+		"negative age":        func(m *Message) { m.Table.AgeMS = -1 },
+		"age overflows":       func(m *Message) { m.Table.AgeMS = 1 << 60 },
+		"negative grace":      func(m *Message) { m.Table.HeldMS = -1 },
+		"endless grace":       func(m *Message) { m.Table.HeldMS = 1 << 40 },
+		"key before the page": func(m *Message) { m.Table.After = "o/z" },
+		"same key twice":      func(m *Message) { m.Table.Entries[1].Key = "o/out/a" },
+		"key is no text":      func(m *Message) { m.Table.Entries[1].Key = "t\xff" },
+		"nothing but more":    func(m *Message) { m.Table.Entries = nil },
+		"too many entries":    func(m *Message) { m.Table.Entries = make([]TableEntry, maxElements+1) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			m := tableMessage()
+			spoil(m)
+			_, err := Encode(m)
+			is.True(err != nil)
+			_, err = Decode(compress(marshal(t, m)))
+			is.True(err != nil)
+		})
+	}
+}
+
 func slicesOf[T any](n int, value T) []T {
 	list := make([]T, n)
 	for i := range list {
@@ -146,6 +193,8 @@
 	for _, m := range []*Message{
 		feedMessage(position(2, 7), position(2, 9)), feedMessage(position(2, 900), position(3, 9)), feedMessage(position(0, 0), position(0, 9)),
 		{Kind: KindFetch, From: testMessage().From, After: 7, AfterEpoch: 2},
+		{Kind: KindTable, From: testMessage().From, AfterKey: "t/1"},
+		tableMessage(),
 		{Kind: KindFeed, From: testMessage().From, Feed: &Feed{From: 1, To: 2, Partial: true}, Relay: []netip.AddrPort{testMessage().From.Addr}},
 	} {
 		b := marshal(f, m)
--- a/protocol/gossip/gossip.go
+++ b/protocol/gossip/gossip.go
@@ -51,12 +51,20 @@
 	// is the reply, which carries a feed.
 	KindFetch      Kind = "fetch"
 	KindFetchReply Kind = "fetched"
+	// KindTable requests a page of the entries that the receiver knows of the store.
+	// KindTableReply is the reply.
+	KindTable      Kind = "table"
+	KindTableReply Kind = "tabled"
 )
 
 // Protocol is the version of the messages that this build exchanges. Builds of
 // version 0 know neither digests, relayed messages nor fetches: they expect the
-// heartbeats and feeds of all hosts of their zone directly.
-const Protocol = 1
+// heartbeats and feeds of all hosts of their zone directly. Builds before version
+// TableProtocol don't serve tables.
+const (
+	Protocol      = 2
+	TableProtocol = 2
+)
 
 // maxRelays bounds the hosts that a received message may ask to be relayed to.
 const maxRelays = 64
@@ -153,6 +161,37 @@
 	Copied bool `cbor:"5,keyasint,omitempty"`
 }
 
+// TablePage is one page of the entries of the store as the sender knows them: the
+// entries after the key After, in order. Their position is Index of Epoch.
+type TablePage struct {
+	Epoch store.Epoch `cbor:"1,keyasint,omitempty"`
+	Index store.Index `cbor:"2,keyasint"`
+	// AgeMS is the time in milliseconds since the sender last knew all changes.
+	AgeMS   int64        `cbor:"3,keyasint,omitempty"`
+	After   store.Key    `cbor:"4,keyasint,omitempty"`
+	Entries []TableEntry `cbor:"5,keyasint,omitempty"`
+	// More is set if entries follow.
+	More bool `cbor:"6,keyasint,omitempty"`
+	// HeldMS is for how many milliseconds more the sender does not let the store,
+	// which has returned from an older copy, override what it knows.
+	HeldMS int64 `cbor:"7,keyasint,omitempty"`
+}
+
+// Position returns the position of the page.
+func (p *TablePage) Position() store.Position {
+	return store.Position{Epoch: p.Epoch, Index: p.Index}
+}
+
+// TableEntry is an entry of a table.
+type TableEntry struct {
+	Key      store.Key      `cbor:"1,keyasint"`
+	Value    []byte         `cbor:"2,keyasint,omitempty"`
+	Revision store.Revision `cbor:"3,keyasint"`
+	// Missing is set if the entry is that of a target which the sender knows as
+	// missing.
+	Missing bool `cbor:"4,keyasint,omitempty"`
+}
+
 // Digest is what the reader of a large zone tells its hosts.
 type Digest struct {
 	// Hosts is the number of live hosts of the zone, the sender included.
@@ -188,6 +227,10 @@
 	Relay []netip.AddrPort `cbor:"10,keyasint,omitempty"`
 	// AfterEpoch is the epoch of After.
 	AfterEpoch store.Epoch `cbor:"12,keyasint,omitempty"`
+	// AfterKey is part of a request for a table: the key after which the page begins.
+	// Table is part of the reply.
+	AfterKey store.Key  `cbor:"13,keyasint,omitempty"`
+	Table    *TablePage `cbor:"14,keyasint,omitempty"`
 }
 
 // Encode returns the datagram of a message. It fails if the datagram exceeds
--- a/transport/follow/apply.go
+++ b/transport/follow/apply.go
@@ -29,13 +29,16 @@
 		f.dir.MarkTargetMissing(f.cfg.Clock(), key)
 		return true
 	}
-	return f.applyTarget(t)
+	return f.applyTarget(t, c.Entry)
 }
 
 // applyOperator applies a change of one of the operator's entries and reports
 // whether the configuration or a zone changed.
 func (f *Follower) applyOperator(c store.Change) bool {
 	f.operator[c.Key] = !c.Deleted
+	if len(c.Value) > 0 || f.values[c.Key].Key == "" { // a feed may name the key only
+		f.recordValue(c.Entry)
+	}
 	change := f.decodeOperator(c.Entry, c.Deleted)
 	changed := change.Config != nil && f.setConfig(*change.Config)
 	if change.Zone != "" && f.dir.SetZone(change.Zone, change.ZoneOut) {
@@ -46,7 +49,8 @@
 	return changed
 }
 
-func (f *Follower) applyTarget(t fleet.Target) bool {
+func (f *Follower) applyTarget(t fleet.Target, e store.Entry) bool {
+	f.recordValue(e)
 	change := f.dir.PutTarget(f.cfg.Clock(), t)
 	if change == fleet.ChangeNone {
 		return false
--- a/transport/follow/calls.go
+++ b/transport/follow/calls.go
@@ -42,7 +42,7 @@
 // countCall counts a call that is about to be made. The caller holds f.mu.
 func (f *Follower) countCall(reason Reason) {
 	op := store.OpList
-	if f.listed {
+	if f.continuesList() {
 		op = store.OpChanges
 	}
 	f.stats.Calls[Call{op, reason}]++
--- a/transport/follow/feed.go
+++ b/transport/follow/feed.go
@@ -48,8 +48,9 @@
 func (f *Follower) SetPeerStore(answers bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.peerStoreAnswers = answers
 	switch {
-	case answers && f.dir.StoreRegained(f.cfg.Clock()):
+	case answers && !f.unconfirmed && f.dir.StoreRegained(f.cfg.Clock()):
 		f.cfg.Log.Info().Str("event", "store_regained").Bool("by_peer", true).Send()
 	case !answers && f.dir.StoreLost():
 		f.cfg.Log.Warn().Str("event", "store_lost").Bool("by_peer", true).Send()
@@ -60,7 +61,10 @@
 // that is partial or leaves a gap makes this host request the changes from
 // another host or read the store itself. ApplyFeed reports whether this host
 // lacked any of the changes and knows them now.
-func (f *Follower) ApplyFeed(feed *gossip.Feed) bool {
+func (f *Follower) ApplyFeed(feed *gossip.Feed) bool { return f.applyFeed(feed, true) }
+
+// applyFeed applies a feed; fromReader is set if the zone's reader sent it.
+func (f *Follower) applyFeed(feed *gossip.Feed, fromReader bool) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	from, to := f.feedPositions(feed)
@@ -83,7 +87,9 @@
 	f.recent.add(f.pos, to, feed.Changes)
 	updated := f.cfg.Clock() - time.Duration(feed.AgeMS)*time.Millisecond
 	f.advance(to, updated-maxFeedDelay, updated)
-	f.compareViews(feed, to)
+	if f.compareViews(feed, to) && fromReader && f.peerStoreAnswers {
+		f.confirmTable("checksum")
+	}
 	f.publish()
 	return lacked
 }
--- a/transport/follow/fetch.go
+++ b/transport/follow/fetch.go
@@ -67,7 +67,7 @@
 // ApplyFetched applies the reply to a fetch. If this host reads the store for its
 // zone and the reply has changes that it lacks, the zone gets them, too.
 func (f *Follower) ApplyFetched(feed *gossip.Feed) {
-	if f.ApplyFeed(feed) {
+	if f.applyFeed(feed, false) {
 		f.passOn(feed, "")
 	}
 }
--- a/transport/follow/fixture_test.go
+++ b/transport/follow/fixture_test.go
@@ -105,6 +105,11 @@
 	return fleet.OperatorChange{Zone: strings.TrimPrefix(string(key), "o/out/"), ZoneOut: !deleted}, nil
 }
 
+type tableRequest struct {
+	after store.Key
+	from  string
+}
+
 type stubPeers struct {
 	mu    sync.Mutex
 	reads bool
@@ -113,6 +118,10 @@
 	// is no host to fetch from.
 	fetched func(after store.Position)
 	fetches int
+	// tables answers the calls of FetchTable, which tableRequests holds; without it
+	// there is no host to ask.
+	tables        func(after store.Key, from string)
+	tableRequests []tableRequest
 	// feedWait is the result of FeedWait.
 	feedWait time.Duration
 }
@@ -142,6 +151,19 @@
 	return true
 }
 
+// FetchTable implements Peers: it counts the calls and lets tables answer them.
+func (p *stubPeers) FetchTable(after store.Key, from string) bool {
+	p.mu.Lock()
+	p.tableRequests = append(p.tableRequests, tableRequest{after, from})
+	tables := p.tables
+	p.mu.Unlock()
+	if tables == nil {
+		return false
+	}
+	go tables(after, from)
+	return true
+}
+
 func (p *stubPeers) FeedWait() time.Duration { return p.feedWait }
 
 func (p *stubPeers) set(reads bool) {
--- a/transport/follow/follow.go
+++ b/transport/follow/follow.go
@@ -51,6 +51,9 @@
 	minRefreshInterval = time.Second
 	// minMismatchInterval limits the rate of lists because of a mismatch.
 	minMismatchInterval = 5 * time.Second
+	// maxStaleValues is the number of entries of former targets that are kept at least
+	// before they are forgotten.
+	maxStaleValues = 100
 	// missedFeedJitter spreads the reads of hosts that missed the same feed.
 	missedFeedJitter = 150 * time.Millisecond
 )
@@ -84,6 +87,11 @@
 	// waiting for the reply, which ApplyFeed receives. It reports false if there
 	// is no such host.
 	Fetch(after store.Position) bool
+	// FetchTable requests the entries of the store after a key from the named host, or
+	// from the next one that may have a table if the name is empty, without waiting for
+	// the reply, which ApplyTablePage receives. It reports false if there is no such
+	// host.
+	FetchTable(after store.Key, from string) bool
 	// FeedWait returns how much longer than the first host of the zone this one
 	// waits for a missing feed before it reads the store itself.
 	FeedWait() time.Duration
@@ -147,6 +155,15 @@
 	keptInList int
 	// firstList is when the first list was applied.
 	firstList time.Duration
+	// values holds the entries as they were last read.
+	values map[store.Key]store.Entry
+	// unconfirmed is set while this host has no list but the table of another host.
+	unconfirmed bool
+	// peerStoreAnswers is set if the store answered the zone's reader when it was last
+	// heard of.
+	peerStoreAnswers bool
+	// transfer is the table that is being received, nil if there is none.
+	transfer *tableTransfer
 	// epochMissing is set once a response did not name the store's epoch.
 	epochMissing bool
 }
@@ -178,7 +195,7 @@
 		cfg.PollInterval = DefaultPollInterval
 	}
 	return &Follower{
-		cfg: cfg, dir: fleet.NewDirectory(), rejected: map[store.Key]string{}, operator: map[store.Key]bool{}, wakeup: make(chan struct{}, 1),
+		cfg: cfg, dir: fleet.NewDirectory(), rejected: map[store.Key]string{}, operator: map[store.Key]bool{}, values: map[store.Key]store.Entry{}, wakeup: make(chan struct{}, 1),
 		stats: Stats{Calls: map[Call]uint64{}, Failures: map[store.Kind]uint64{}},
 	}
 }
@@ -230,7 +247,9 @@
 			reason = ReasonHistoryLost
 		default:
 			f.recordFailure(err)
-			f.fetch()
+			if !f.fetchTable() {
+				f.fetch()
+			}
 			f.sleep(ctx, delay/2+rand.N(delay))
 			delay = min(2*delay, maxRetryDelay)
 			reason = f.waitToRead(ctx, ReasonRetry)
@@ -246,6 +265,9 @@
 			f.cfg.Log.Warn().Str("event", "target_expired").Str("target", string(key)).Send()
 		}
 	}
+	if len(f.values) > maxStaleValues+2*f.dir.Size() {
+		f.pruneValues()
+	}
 	if !f.dir.Ready() {
 		return
 	}
--- a/transport/follow/list.go
+++ b/transport/follow/list.go
@@ -54,13 +54,22 @@
 	if former.Index == 0 {
 		f.applyFirstList(&all)
 	} else {
-		feed = gossip.NewFeed(former, all.Position(), f.applyLaterList(&all))
+		held := f.cfg.Clock() < f.heldUntil
+		if !held {
+			f.relistPending = false
+		}
+		feed = gossip.NewFeed(former, all.Position(), f.applyLaterList(&all, held))
 	}
+	fromTable := f.unconfirmed
+	f.confirmTable("list")
 	f.dir.SetListed()
 	f.pos, f.listed, f.lastList = all.Position(), true, f.cfg.Clock()
 	f.targetsDiffer = false
-	if feed != nil && f.pos.Before(former) {
-		feed = nil // hosts at the former position could not apply it
+	if feed != nil && (f.pos.Before(former) || fromTable) {
+		// Hosts at the former position could not apply it. After a table of another
+		// host, others may have been ahead of it: what was written and undone since is
+		// no difference here, but is one there.
+		feed = nil
 	}
 	if feed != nil {
 		f.recent.add(former, f.pos, feed.Changes)
@@ -89,6 +98,7 @@
 			f.applyOperator(store.Change{Entry: e})
 		case e.Key.HasPrefix(f.cfg.Keys.Targets):
 			if t, ok := f.decodeTarget(e); ok {
+				f.recordValue(e)
 				f.dir.PutTarget(f.cfg.Clock(), t)
 			}
 		}
@@ -97,14 +107,10 @@
 
 // applyLaterList applies all entries of a list to what this host knows. It returns
 // the differences as changes, without heartbeats. Entries that are no longer in
-// the list are deleted at the list's index. In the grace after a restore the list
-// may be a copy that is older than what this host knows.
-func (f *Follower) applyLaterList(all *store.Snapshot) []gossip.Change {
+// the list are deleted at the list's index. held is set if the list may be older than
+// what this host knows, as a copy of the store is in the grace after a restore.
+func (f *Follower) applyLaterList(all *store.Snapshot, held bool) []gossip.Change {
 	f.keptInList = 0
-	held := f.cfg.Clock() < f.heldUntil
-	if !held {
-		f.relistPending = false
-	}
 	var changes []gossip.Change
 	listed := make(map[store.Key]bool, len(all.Entries))
 	for _, e := range all.Entries {
--- a/transport/follow/read.go
+++ b/transport/follow/read.go
@@ -18,7 +18,7 @@
 		f.listed = false
 		reason = ReasonRestored
 	}
-	listed, after, wait := f.listed, f.pos, f.watchTime()
+	listed, after, wait := f.continuesList(), f.pos, f.watchTime()
 	f.countCall(reason)
 	f.mu.Unlock()
 	if listed {
@@ -27,6 +27,9 @@
 	return f.list(ctx, reason)
 }
 
+// continuesList reports whether the next call to the store reads changes, not a list.
+func (f *Follower) continuesList() bool { return f.listed && !f.unconfirmed }
+
 // readChanges reads the changes after a position, once there are any or wait has
 // passed, and sends them to the other hosts of the zone if this host is their
 // reader.
--- a/transport/follow/restore.go
+++ b/transport/follow/restore.go
@@ -152,7 +152,7 @@
 		f.recordKept(e.Key, keepTarget)
 		return false
 	}
-	return f.applyTarget(t)
+	return f.applyTarget(t, e)
 }
 
 // recordKept counts and logs that an entry of a copy does not override what is
--- a/transport/follow/state.go
+++ b/transport/follow/state.go
@@ -14,6 +14,9 @@
 // follows its grace: it may differ from the store and from other hosts. It is left
 // out for as long after a start, since the first list may have been an older copy.
 func (f *Follower) addState(feed *gossip.Feed) {
+	if f.unconfirmed {
+		return // another host without a list could take its table for confirmed
+	}
 	feed.Checksum = f.dir.Checksum()
 	if !f.relistPending && f.cfg.Clock() >= f.firstList+restoreGrace {
 		feed.Operator = &gossip.OperatorState{ConfigVersion: f.dir.ConfigVersion(), Keys: f.operatorKeys()}
@@ -55,26 +58,28 @@
 // compareViews makes this host list all entries if its targets or its configuration
 // differ from the sender's at the same position. What a feed leaves out as a
 // heartbeat depends on what its sender knew; a wrong omission would end the flows of
-// a living target.
-func (f *Follower) compareViews(feed *gossip.Feed, to store.Position) {
+// a living target. compareViews reports whether all of the sender's state is known and
+// the same.
+func (f *Follower) compareViews(feed *gossip.Feed, to store.Position) bool {
 	sameTargets := feed.Checksum == 0 || feed.Checksum == f.dir.Checksum()
 	if to != f.pos {
-		return
+		return false
 	}
 	f.targetsDiffer = !sameTargets
 	sameConfig := f.adoptOperator(feed.Operator)
 	if sameTargets && sameConfig {
-		return
+		return feed.Checksum != 0 && feed.Operator != nil
 	}
 	now := f.cfg.Clock()
 	if f.mismatchLimited(now) {
-		return
+		return false
 	}
 	f.lastMismatch, f.hasMismatch = now, true
 	f.cfg.Log.Warn().Str("event", "view_mismatch").Uint64("revision", uint64(f.pos.Index)).
 		Bool("targets", !sameTargets).Bool("config", !sameConfig).Send()
-	f.listed = false
+	f.listed = f.unconfirmed // the next call is a list then, and feeds go on
 	f.missedFeed = ReasonMismatch
+	return false
 }
 
 // mismatchLimited reports whether a list because of a mismatch would follow the
--- a/transport/gossip/gossip.go
+++ b/transport/gossip/gossip.go
@@ -50,6 +50,11 @@
 	// ChangesSince returns the changes of the store after a position, nil if this
 	// host doesn't know all of them.
 	ChangesSince(after store.Position) *gossip.Feed
+	// TablePage returns the entries that this host knows of the store after a key, nil
+	// if it has no view.
+	TablePage(after store.Key) *gossip.TablePage
+	// HandleTable receives a page of another host's table, in reply to FetchTable.
+	HandleTable(p *gossip.TablePage, from string)
 	// HandleReader is called when this host begins or ends to read the store for
 	// its zone.
 	HandleReader()
@@ -106,8 +111,10 @@
 	mu    sync.Mutex
 	seeds []netip.AddrPort
 	peers *peers.Peers
-	reads bool
-	hosts int
+	// tableRequests counts the requests for a table that go to the next host.
+	tableRequests int
+	reads         bool
+	hosts         int
 }
 
 // New opens the UDP socket. Serve and Run do the work.
@@ -181,6 +188,10 @@
 		e.cfg.Local.HandleFeed(m.Feed, fetched)
 	case m.Kind == gossip.KindFetch:
 		e.replyToFetch(store.Position{Epoch: m.AfterEpoch, Index: m.After}, from)
+	case m.Kind == gossip.KindTable:
+		e.replyToTable(m.AfterKey, from)
+	case m.Kind == gossip.KindTableReply:
+		e.cfg.Local.HandleTable(m.Table, m.From.Name)
 	}
 }
 
--- a/transport/gossip/gossip_test.go
+++ b/transport/gossip/gossip_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -20,6 +21,11 @@
 	"github.com/jujubehaven/jujubehaven/protocol/gossip"
 )
 
+type receivedTable struct {
+	page *gossip.TablePage
+	from string
+}
+
 // localStub implements Local and records what it receives.
 type localStub struct {
 	mu        sync.Mutex
@@ -32,10 +38,30 @@
 	unreachable []string
 	// changes is what ChangesSince returns.
 	changes *gossip.Feed
+	// table is what TablePage returns, tables what HandleTable received.
+	table  *gossip.TablePage
+	tables []receivedTable
 	// readerStore holds what HandlePeerStore received.
 	readerStore []bool
 }
 
+func (s *localStub) TablePage(after store.Key) *gossip.TablePage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.table == nil {
+		return nil
+	}
+	page := *s.table
+	page.After = after
+	return &page
+}
+
+func (s *localStub) HandleTable(p *gossip.TablePage, from string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tables = append(s.tables, receivedTable{p, from})
+}
+
 func (s *localStub) ChangesSince(after store.Position) *gossip.Feed {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -220,6 +246,36 @@
 	is.Equal(len(seed.receivedFeeds()), 0)
 }
 
+// A host asks one after the other for a table, also in other zones, and goes on with
+// the one that it names. A host without a view does not reply.
+func TestTableIsFetched(t *testing.T) {
+	is := is.New(t)
+	without := startHost(t, "h1", "a")
+	with := startHost(t, "h2", "b", without.addr)
+	starter := startHost(t, "h3", "a", without.addr, with.addr)
+	page := &gossip.TablePage{Epoch: 2, Index: 9, Entries: []gossip.TableEntry{{Key: "t/1", Value: []byte("x"), Revision: 4}}}
+	with.localStub.mu.Lock()
+	with.table = page
+	with.localStub.mu.Unlock()
+	received := func() []receivedTable {
+		starter.localStub.mu.Lock()
+		defer starter.localStub.mu.Unlock()
+		return slices.Clone(starter.tables)
+	}
+	eventually(t, "a table", func() bool {
+		starter.FetchTable("", "")
+		return len(received()) > 0
+	})
+	is.Equal(received()[0].from, "h2")
+	is.Equal(*received()[0].page, *page)
+	is.True(starter.FetchTable("t/0", "h2"))
+	eventually(t, "the next page", func() bool {
+		all := received()
+		return all[len(all)-1].page.After == "t/0"
+	})
+	is.True(!starter.FetchTable("t/0", "h9")) // not known
+}
+
 func TestMalformedDatagramsAreCounted(t *testing.T) {
 	is := is.New(t)
 	h := startHost(t, "h1", "a")
