--- a/transport/gossip/gossip.go
+++ b/transport/gossip/gossip.go
@@ -56,6 +56,11 @@
 	// ChangesSince returns the changes of the store after a position, nil if this
 	// host doesn't know all of them.
 	ChangesSince(after store.Position) *gossip.Feed
+	// TablePage returns the entries that this host knows of the store after a key, nil
+	// if it has no view.
+	TablePage(after store.Key) *gossip.TablePage
+	// HandleTable receives a page of another host's table, in reply to FetchTable.
+	HandleTable(p *gossip.TablePage, from string)
 	// HandleReader is called when this host begins or ends to read the store for
 	// its zone.
 	HandleReader()
@@ -118,9 +123,11 @@
 	mu    sync.Mutex
 	seeds []netip.AddrPort
 	peers *peers.Peers
-	cross crossZone
-	reads bool
-	hosts int
+	// tableRequests counts the requests for a table that go to the next host.
+	tableRequests int
+	cross         crossZone
+	reads         bool
+	hosts         int
 	// allotted is set while this host's share of the slots is in force.
 	allotted bool
 }
@@ -202,6 +209,10 @@
 		e.cfg.Local.HandleFeed(m.Feed, fetched)
 	case m.Kind == gossip.KindFetch:
 		e.replyToFetch(store.Position{Epoch: m.AfterEpoch, Index: m.After}, from)
+	case m.Kind == gossip.KindTable:
+		e.replyToTable(m.AfterKey, from)
+	case m.Kind == gossip.KindTableReply:
+		e.cfg.Local.HandleTable(m.Table, m.From.Name)
 	}
 }
 
