Raise a host's own limit where its share of the slots is small

Cause: a host of 110 has 1.1 slots of 120.

Change: below 4 slots the limit is raised by 2.5 standard deviations of the requests, less those at 4 slots. The replay with 110 hosts is added; it failed before.

--- a/coordination/steering/admission.go
+++ b/coordination/steering/admission.go
@@ -32,6 +32,12 @@
 	// maxReportedDeviation bounds how far the load that all hosts reported counts as
 	// different from this host's own, in requests per slot: it is old.
 	maxReportedDeviation = 1.0
+	// ampleShare is the share of a pool's slots, in slots, below which chance moves a
+	// host's own requests so much that its limit is raised by chanceDeviations standard
+	// deviations of them, less those at ampleShare: with a share of 1.1 slots hosts turned
+	// openings away while others had free slots.
+	ampleShare       = 4.0
+	chanceDeviations = 2.5
 	// minOwnShare is the share of a pool's slots, in slots, from which a host's own
 	// requests tell a burst from chance.
 	minOwnShare = 2.0
@@ -150,6 +156,9 @@
 		return false
 	}
 	own := l.own / l.ownShare
+	if l.ownShare < ampleShare {
+		limit += chanceDeviations * (math.Sqrt(limit/l.ownShare) - math.Sqrt(limit/ampleShare))
+	}
 	return own+min(max(l.perSlot-own, -maxReportedDeviation), maxReportedDeviation)/2 >= limit
 }
 
--- a/coordination/steering/admissionreplay_test.go
+++ b/coordination/steering/admissionreplay_test.go
@@ -68,7 +68,7 @@
 // zoneSize is the number of hosts and of targets of the main service in a zone.
 type zoneSize struct{ hosts, targets int }
 
-var largeZone, smallZone, singleHost = zoneSize{20, 40}, zoneSize{6, 12}, zoneSize{1, 3}
+var largestZone, largeZone, smallZone, singleHost = zoneSize{110, 60}, zoneSize{20, 40}, zoneSize{6, 12}, zoneSize{1, 3}
 
 func newLoadReplay(t *testing.T, seed uint64, admission bool, size zoneSize, classes ...*loadClass) *loadReplay {
 	z := &loadReplay{zoneReplay: newZoneReplay(t, seed, size.hosts, size.targets), admission: admission, slots: map[string]int{}}
@@ -292,6 +292,11 @@
 	z.outage(burstFrom, burstFrom+1500*time.Millisecond)
 }
 
+func oneCallerBurst(z *loadReplay) {
+	z.offer(lightClass, steadyFrom, loadEnd, 0.6)
+	z.offer(heavyClass, burstFrom, burstTo, 0.6*1.5)
+}
+
 func higherPriorityBurst(z *loadReplay) {
 	z.offer(ordersClass, steadyFrom, loadEnd, 0.4)
 	z.offer(feedsClass, steadyFrom, loadEnd, 0.4)
@@ -337,10 +342,8 @@
 		z.offer(lightClass, steadyFrom, loadEnd, 0.6)
 		z.offer(heavyClass, burstFrom, burstTo, 0.6)
 	}, []float64{0.98, 0.4}, false, largeZone},
-	{"burst 2.5 of one caller", []*loadClass{lightClass, heavyClass}, burstFrom, burstTo, func(z *loadReplay) {
-		z.offer(lightClass, steadyFrom, loadEnd, 0.6)
-		z.offer(heavyClass, burstFrom, burstTo, 0.6*1.5)
-	}, []float64{0.98, 0.3}, false, largeZone},
+	{"burst 2.5 of one caller", []*loadClass{lightClass, heavyClass}, burstFrom, burstTo, oneCallerBurst, []float64{0.98, 0.3}, false, largeZone},
+	{"burst 2.5 of one caller, 110 hosts", []*loadClass{lightClass, heavyClass}, burstFrom, burstTo, oneCallerBurst, []float64{0.6, 0.25}, false, largestZone},
 }
 
 // play replays a load pattern.
