--- a/internal/tokenhost/host_test.go
+++ b/internal/tokenhost/host_test.go
@@ -358,6 +358,24 @@
 	is.Equal(cmp.Diff(exported, listed), "")
 }
 
+// Guards against refusals that an operator can't look up: the page must explain each
+// cause for which openings are dropped or refused.
+func TestOperationsPageListsCauses(t *testing.T) {
+	is := is.New(t)
+	text, err := os.ReadFile("../../docs/OPERATIONS.md")
+	is.NoErr(err)
+	placed := map[steering.Cause]bool{
+		steering.CauseKnown: true, steering.CausePlaced: true, steering.CausePlacedAway: true, steering.CauseReplaced: true,
+		steering.CauseForged: true, // no caller sends it
+	}
+	for cause := range steering.CauseCount {
+		named := regexp.MustCompile("(`|cause=)" + cause.String() + "`")
+		if !placed[cause] && !named.Match(text) {
+			t.Errorf("docs/OPERATIONS.md does not explain the cause %s", cause)
+		}
+	}
+}
+
 func withLabels(name, labels string) string {
 	list := strings.Split(strings.ReplaceAll(labels, " ", ""), ",")
 	sort.Strings(list)
