--- a/coordination/allotment/allotter.go
+++ b/coordination/allotment/allotter.go
@@ -8,8 +8,6 @@
 	"time"
 
 	"github.com/zeebo/xxh3"
-
-	"github.com/jujubehaven/jujubehaven/coordination/rendezvous"
 )
 
 // Slot allotment. The load pattern: demand is close to what the targets can serve,
@@ -23,21 +21,20 @@
 // arrive late or are lost.
 
 const (
-	// smoothing is the time constant of the average of a host's demand: a step of
-	// demand is followed to 86% within 0.6 s, and the moves of slots take 0.4 s more.
-	// With 500 ms shares would not follow within a second.
+	// smoothing is the time constant of the average of a host's demand. It is short
+	// enough that shares follow a step of demand within a second.
 	smoothing = 300 * time.Millisecond
-	// moveMargin sets from which difference of two hosts' surpluses a slot moves
+	// moveMargin sets the difference of two hosts' surpluses above which a slot moves
 	// between them: 1 slot, below which a move gains nothing, and moveMargin times
-	// the root of the mean number of slots, for the random part of the demand. From
-	// 0.5 to 1.2 the p99 of the wait in the replays differs by 3 ms; 1.2 moves least.
+	// the square root of the mean number of slots of a host, so that random changes of
+	// the demand move few slots.
 	moveMargin = 1.2
 	// confirmTimeout is how long after its revocation a slot is allotted again
 	// although its former holder has not confirmed it: the holder's last table with
 	// the slot has expired by then.
 	confirmTimeout = Lifetime + 200*time.Millisecond
-	// slotsPerJoin is the number of a service's slots for each of which, begun or
-	// whole, a pair of shared targets is joined in a round.
+	// slotsPerJoin sets how often join is called for a group in a round: once, and
+	// once more for every slotsPerJoin slots of the group.
 	slotsPerJoin = 100
 	// idleWeight is the weight of a host without requests, in requests: its next
 	// opening.
@@ -152,6 +149,12 @@
 		live[d.Host] = h
 	}
 	a.hosts = live
+	a.releaseSlots(live)
+}
+
+// releaseSlots frees the slots of hosts that are no longer live. Slots that were
+// revoked for them are open to any host.
+func (a *Allotter) releaseSlots(live map[string]*host) {
 	gone := func(h *host) bool { return live[h.name] != h }
 	for _, t := range a.targets {
 		t.holders = slices.DeleteFunc(t.holders, gone)
@@ -234,257 +237,12 @@
 	return slices.SortedFunc(maps.Values(a.hosts), func(x, y *host) int { return cmp.Compare(x.name, y.name) })
 }
 
-// group is the targets of a service that are cold or that are not.
-type group struct {
-	service string
-	cold    bool
-	targets []*target
-}
-
-// groups returns the groups in order, with their targets in the order of tokens.
-func (a *Allotter) groups() []*group {
-	type key struct {
-		service string
-		cold    bool
-	}
-	byKey := map[key]*group{}
-	var list []*group
-	for _, token := range slices.Sorted(maps.Keys(a.targets)) {
-		t := a.targets[token]
-		k := key{t.Service, t.State == Cold}
-		g := byKey[k]
-		if g == nil {
-			g = &group{service: k.service, cold: k.cold}
-			byKey[k] = g
-			list = append(list, g)
-		}
-		g.targets = append(g.targets, t)
-	}
-	return list
-}
-
-// shrink takes the slots back that the targets of a group no longer have.
-func (a *Allotter) shrink(g *group) {
-	for _, t := range g.targets {
-		for len(t.holders) > t.capacity() {
-			a.revoke(t, len(t.holders)-1, nil)
-		}
-	}
-}
-
 // revoke takes a slot from its holder for another host, or for none.
 func (a *Allotter) revoke(t *target, slot int, to *host) {
 	t.revoked = append(t.revoked, revocation{from: t.holders[slot], to: to, seq: a.seq, at: a.updated})
 	t.holders = slices.Delete(t.holders, slot, slot+1)
 }
 
-// allot brings the holdings of a group closer to the quotas of the hosts with as few
-// changes as possible: free slots go to the hosts that lack most, and further ones
-// move only if two hosts differ much.
-func (a *Allotter) allot(g *group, hosts []*host) {
-	for _, h := range hosts {
-		h.held, h.planned = 0, 0
-	}
-	slots, pending := g.count()
-	if slots == 0 || len(hosts) == 0 {
-		return
-	}
-	setQuotas(g.service, slots, hosts)
-	threshold := 1 + moveMargin*math.Sqrt(float64(slots)/float64(len(hosts)))
-	g.giveReserved(hosts, threshold)
-	for {
-		h := neediest(hosts)
-		t := g.bestFree(h)
-		if t == nil {
-			break
-		}
-		t.holders = append(t.holders, h)
-		h.held++
-		h.planned++
-	}
-	for range pending {
-		neediest(hosts).planned++
-	}
-	for range slots {
-		from, to := richest(hosts), neediest(hosts)
-		starved := to.planned == 0 && to.quota >= 1 && from.planned >= 2
-		if from.held == 0 || (!starved && from.surplus()-to.surplus() <= threshold) {
-			break
-		}
-		t, slot := g.bestTaken(from, to)
-		a.revoke(t, slot, to)
-		from.held--
-		from.planned--
-		to.planned++
-	}
-	for range 1 + slots/slotsPerJoin {
-		a.join(g)
-	}
-}
-
-// giveReserved gives the reserved slots to the hosts that they were taken for, or to
-// those that need them more by now.
-func (g *group) giveReserved(hosts []*host, threshold float64) {
-	for _, t := range g.targets {
-		for _, h := range t.reserved {
-			if n := neediest(hosts); h.surplus()-n.surplus() > threshold {
-				h.planned--
-				n.planned++
-				h = n
-			}
-			t.holders = append(t.holders, h)
-			h.held++
-		}
-		t.reserved = nil
-	}
-}
-
-// count returns the number of a group's slots and of those that will be free. It
-// counts what the hosts hold and are about to get.
-func (g *group) count() (slots, pending int) {
-	for _, t := range g.targets {
-		slots += t.capacity()
-		for _, h := range t.holders {
-			h.held++
-			h.planned++
-		}
-		for _, h := range t.reserved {
-			h.planned++
-		}
-		left := max(t.capacity()-len(t.holders)-len(t.reserved), 0)
-		for _, r := range t.revoked[:min(len(t.revoked), left)] {
-			if r.to != nil {
-				r.to.planned++
-			} else {
-				pending++
-			}
-		}
-	}
-	return slots, pending
-}
-
-// join exchanges two slots between two hosts if one shares two targets of the group
-// with others, so that it holds more of one of them. Without it, moves of
-// single slots leave two fifths of the slots at shared targets within 20 s, whose
-// queues none of their holders knows.
-func (a *Allotter) join(g *group) {
-	shared := map[*host]*target{}
-	for _, t := range g.targets {
-		if len(t.revoked) > 0 || len(t.holders) < 2 || t.heldBy(t.holders[0]) == len(t.holders) {
-			continue
-		}
-		for _, h := range t.holders {
-			first := shared[h]
-			if first == nil {
-				shared[h] = t
-			}
-			if first != nil && first != t && (a.exchange(h, t, first) || a.exchange(h, first, t)) {
-				return
-			}
-		}
-	}
-}
-
-// exchange takes one slot of the target more from another host and one of the target
-// less from a host, if that makes the sum of the squares of what hosts hold of each
-// target larger, so that joining ends. It reports whether it did.
-func (a *Allotter) exchange(h *host, more, less *target) bool {
-	other := slices.IndexFunc(more.holders, func(o *host) bool {
-		return o != h && more.heldBy(h) >= more.heldBy(o)+less.heldBy(h)-1
-	})
-	if other < 0 {
-		return false
-	}
-	from := more.holders[other]
-	a.revoke(more, other, h)
-	a.revoke(less, slices.Index(less.holders, h), from)
-	return true
-}
-
-// setQuotas sets how many of a group's slots each host should hold. What exceeds one
-// slot for each host is divided by demand and its square root, as the variation of a
-// host's demand grows with the root.
-func setQuotas(service string, slots int, hosts []*host) {
-	sum := 0.0
-	weight := func(h *host) float64 {
-		d := h.demand[service]
-		return idleWeight + d + math.Sqrt(d)
-	}
-	for _, h := range hosts {
-		sum += weight(h)
-	}
-	base := 0.0
-	if slots >= len(hosts) {
-		base = 1
-	}
-	for _, h := range hosts {
-		h.quota = base + (float64(slots)-base*float64(len(hosts)))*weight(h)/sum
-	}
-}
-
-// neediest returns the host that lacks most slots.
-func neediest(hosts []*host) *host {
-	return slices.MinFunc(hosts, func(x, y *host) int {
-		return cmp.Or(cmp.Compare(starvation(x), starvation(y)), cmp.Compare(x.surplus(), y.surplus()), cmp.Compare(x.hash, y.hash))
-	})
-}
-
-// starvation ranks hosts first that have no slot although there are enough.
-func starvation(h *host) int {
-	if h.planned == 0 && h.quota >= 1 {
-		return 0
-	}
-	return 1
-}
-
-// richest returns the host with the largest surplus among those that hold a slot.
-func richest(hosts []*host) *host {
-	return slices.MaxFunc(hosts, func(x, y *host) int {
-		return cmp.Or(cmp.Compare(min(x.held, 1), min(y.held, 1)), cmp.Compare(x.surplus(), y.surplus()), cmp.Compare(x.hash, y.hash))
-	})
-}
-
-// bestFree returns the target of which a host gets a free slot, nil if no slot is
-// free: one of which it holds a slot already, as a host that holds a whole target
-// knows what it does, else the one with the most free slots.
-func (g *group) bestFree(h *host) *target {
-	var best *target
-	var bestScore float64
-	for _, t := range g.targets {
-		free := t.free()
-		if free == 0 {
-			continue
-		}
-		score := float64(2*t.heldBy(h)+free) + fraction(rendezvous.Mix(h.hash, uint64(t.Token)))
-		if best == nil || score > bestScore {
-			best, bestScore = t, score
-		}
-	}
-	return best
-}
-
-// bestTaken returns the target and slot that moves between two hosts: preferably a
-// target of which the receiver holds a slot already, else one that the giver shares
-// with others.
-func (g *group) bestTaken(from, to *host) (*target, int) {
-	var best *target
-	var bestScore float64
-	for _, t := range g.targets {
-		n := t.heldBy(from)
-		if n == 0 {
-			continue
-		}
-		score := float64(4*min(t.heldBy(to), 1)-n) + fraction(rendezvous.Mix(to.hash, uint64(t.Token)))
-		if best == nil || score > bestScore {
-			best, bestScore = t, score
-		}
-	}
-	return best, slices.Index(best.holders, from)
-}
-
-// fraction returns a number from 0 to 1 from a hash.
-func fraction(hash uint64) float64 { return float64(hash>>11) / (1 << 53) }
-
 // table returns the current table.
 func (a *Allotter) table() *Table {
 	t := &Table{Seq: a.seq, holdings: make(map[string][]Holding, len(a.hosts))}
--- a/coordination/allotment/allotter_test.go
+++ b/coordination/allotment/allotter_test.go
@@ -200,9 +200,9 @@
 	}
 }
 
-// During changes of hosts and targets the hosts together hold at most the slots too
-// many that were reassigned in one round. A host whose reports are lost, but not its
-// tables, is the worst case.
+// Guards against slots that stay with two holders after hosts or targets have changed:
+// the hosts together hold at most as many slots too many as were reassigned in one
+// round. A host whose reports are lost, but not its tables, is the worst case.
 func TestExcessDuringChangesIsBounded(t *testing.T) {
 	for _, size := range zoneSizes {
 		for seed := range uint64(3) {
@@ -228,8 +228,8 @@
 	}
 }
 
-// Shares follow demand within a second, slots of a host that no longer reports are
-// allotted at once, and idle hosts keep a slot.
+// Guards against shares that lag behind the demand by more than a second, slots that
+// stay with a host that no longer reports, and idle hosts without a slot.
 func TestSharesFollowDemand(t *testing.T) {
 	for _, size := range zoneSizes {
 		t.Run(fmt.Sprint(size.hosts), func(t *testing.T) {
@@ -334,8 +334,8 @@
 	is.True(shared <= 8)
 }
 
-// Targets that accept no flows have no holders, those that reject have fewer, and
-// cold ones are shared out apart from the others.
+// Guards against slots at targets that accept no flows, too many slots at targets that
+// reject, and cold targets that are allotted together with the others.
 func TestStatesOfTargets(t *testing.T) {
 	is := is.New(t)
 	z := newZone(4, 10, 20, 2)
@@ -369,7 +369,7 @@
 	is.True(held >= 8) // few slots are on the way
 }
 
-// A reader that takes over keeps the holders that the hosts report.
+// Guards against a change of the reader that moves slots to other hosts.
 func TestSuccessorKeepsHolders(t *testing.T) {
 	is := is.New(t)
 	z := newZone(5, 12, 24, 2)
@@ -382,7 +382,7 @@
 	is.True(z.moved <= 4)
 }
 
-// A host that reports but gets no tables does not keep slots from the others.
+// Guards against a host that reports but gets no tables and keeps slots from others.
 func TestUnconfirmedRevocationEnds(t *testing.T) {
 	is := is.New(t)
 	a := NewAllotter(0)
--- a/coordination/changes/error.go
+++ b/coordination/changes/error.go
@@ -61,8 +61,9 @@
 }
 
 // ConflictError means that another change of the document was written after the
-// base of this change, or that the store has lost what this change relies on. This change was not written, unless MayHaveRun is set:
-// then it may have been written before the other replaced it.
+// base of this change, or that the store has lost what this change relies on. This
+// change was not written, unless MayHaveRun is set: then it may have been written
+// before the other replaced it.
 type ConflictError struct {
 	Key document.Key
 	// Base is the generation from which the change was made.
--- a/coordination/changes/guard.go
+++ b/coordination/changes/guard.go
@@ -5,6 +5,7 @@
 	"context"
 
 	"github.com/cockroachdb/errors"
+
 	"github.com/jujubehaven/jujubehaven/coordination/store"
 	"github.com/jujubehaven/jujubehaven/protocol/document"
 )
--- a/coordination/peers/allotments.go
+++ b/coordination/peers/allotments.go
@@ -56,7 +56,7 @@
 	if !a.reported {
 		a.reported, a.reportedSince = true, now
 	}
-	if !p.leads || len(targets) == 0 || now < a.reportedSince+reportRound || !p.hearsMost(now) {
+	if !p.leads || len(targets) == 0 || now < a.reportedSince+reportRound || !p.mostHostsReport(now) {
 		a.allotter = nil
 		return
 	}
@@ -79,10 +79,10 @@
 	return p.leads || (p.digest.Hosts > 0 && p.digest.Standby == p.self.Addr)
 }
 
-// hearsMost reports whether most hosts of the zone report to this one. A reader that
-// hears few would allot all slots to these, and two readers of a zone that is split
+// mostHostsReport reports whether most hosts of the zone report to this one. A reader
+// with the reports of few hosts would allot all slots to these, and two readers of a zone that is split
 // would allot the same slots.
-func (p *Peers) hearsMost(now time.Duration) bool {
+func (p *Peers) mostHostsReport(now time.Duration) bool {
 	n := 1
 	for _, other := range p.zonePeers() {
 		if p.hasReported(now, other) {
--- a/coordination/peers/allotments_test.go
+++ b/coordination/peers/allotments_test.go
@@ -87,8 +87,8 @@
 	}
 }
 
-// All hosts of a large zone get a share, no slot has two holders although digests
-// and reports are lost, and the bytes stay in bounds.
+// Guards against hosts of a large zone without a share, slots with two holders when
+// digests and reports are lost, and tables that take too many bytes.
 func TestHostsShareOutSlots(t *testing.T) {
 	for _, n := range zoneSizes {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
@@ -121,8 +121,8 @@
 	}
 }
 
-// When the reader fails, shares expire or are replaced by those of the next reader,
-// no slot has two holders, and most slots keep their holder.
+// Guards against shares that stay in force after the reader has failed, and against a
+// next reader that gives slots a second holder or most of them another one.
 func TestAllotmentsOutliveTheReader(t *testing.T) {
 	for _, n := range zoneSizes {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
@@ -222,8 +222,8 @@
 	is.Equal(worst, 0)
 }
 
-// A path that works in one direction only leaves no slot at a host that does not use
-// it, and gives none to two hosts.
+// Guards against slots that are held by two hosts, or by one that does not use them,
+// when a path works in one direction only.
 func TestOneWayPartition(t *testing.T) {
 	for _, name := range []string{"host is not heard", "host does not hear"} {
 		t.Run(name, func(t *testing.T) {
@@ -256,7 +256,7 @@
 	}
 }
 
-// The slots of a host that fails are allotted to others within 1.2 s.
+// Guards against slots that stay unused for more than 1.2 s after their host has failed.
 func TestSlotsOfADeadHost(t *testing.T) {
 	is := is.New(t)
 	z := newAllottingZone(t, 12, 6)
@@ -271,8 +271,8 @@
 	is.True(slots >= 2*len(z.targets)-2) // others may be on the way
 }
 
-// A build that knows no allotments holds no slots while it is upgraded, and the
-// others share out all of them.
+// Guards against slots that are lost during an upgrade because they are allotted to
+// hosts of a build that knows no allotments.
 func TestOldBuildHoldsNoSlots(t *testing.T) {
 	is := is.New(t)
 	z := newAllottingZone(t, 12, 7)
@@ -301,7 +301,8 @@
 	is.True(z.hosts[5].leads || !z.hosts[5].Share().Valid(z.clock(z.hosts[5])))
 }
 
-// An older table, or one of an earlier incarnation of the reader, is ignored.
+// Guards against a late table, or one of an earlier incarnation of the reader, that
+// replaces a newer one.
 func TestOlderTablesAreIgnored(t *testing.T) {
 	is := is.New(t)
 	h := New(simIdentity(0))
@@ -332,7 +333,7 @@
 	is.Equal(len(h.Holdings(2*time.Second).Slots), 0)
 }
 
-// A small zone exchanges nothing about slots.
+// Guards against a small zone that sends tables and reports which it does not need.
 func TestSmallZoneAllotsNothing(t *testing.T) {
 	is := is.New(t)
 	z := newZoneSim(t, 9, 8)
--- a/coordination/peers/reader_test.go
+++ b/coordination/peers/reader_test.go
@@ -125,8 +125,9 @@
 	is.Equal(small.FetchFrom(0), []gossip.Host{first})
 }
 
-// A table comes from the zone's reader first, then from other hosts of the zone, then
-// from those of other zones, never from a build that serves none.
+// Guards against requests for a table that go to hosts with an older one, or to builds
+// that serve none: the zone's reader is asked first, then other hosts of the zone, then
+// those of other zones.
 func TestTableFrom(t *testing.T) {
 	is := is.New(t)
 	p, hosts := largeZone(20)
--- a/coordination/peers/summaries.go
+++ b/coordination/peers/summaries.go
@@ -6,9 +6,9 @@
 	"github.com/jujubehaven/jujubehaven/protocol/gossip"
 )
 
-// Receivers of summaries in other zones. The failure it answers: a host of the other
-// zone that gets a summary may be dead, or of a build that does not know summaries.
-// The second receiver therefore changes from summary to summary.
+// Receivers of summaries in other zones. A host of the other zone may be dead, or of a
+// build that does not know summaries, so each summary is sent to two hosts, the second
+// of which changes from summary to summary.
 
 // maxSummaryHosts bounds the hosts of a zone that get one summary.
 const maxSummaryHosts = 2
--- a/coordination/peers/summaries_test.go
+++ b/coordination/peers/summaries_test.go
@@ -18,9 +18,9 @@
 	}
 }
 
-// A summary goes to two hosts of each other zone: the one heard of last, and the
-// others in turn, as a host may be dead or of an old build. Old builds, and zones of
-// which nobody knows a host, get none.
+// Guards against summaries that reach no host because the receiver is dead or of an old
+// build: one goes to two hosts of each other zone, the one heard of last and the others
+// in turn. Old builds, and zones of which nobody knows a host, get none.
 func TestSummaryReceivers(t *testing.T) {
 	is := is.New(t)
 	p := New(hostOfZone("a", 0))
@@ -53,8 +53,8 @@
 	is.Equal(len(p.SummaryReceivers(now)), 0)
 }
 
-// A host of a large zone forwards summaries to its reader; the reader forwards none,
-// nor does a host of a small zone.
+// Guards against summaries that do not reach the reader of a large zone, or that are
+// forwarded by the reader or in a small zone.
 func TestSummaryReader(t *testing.T) {
 	is := is.New(t)
 	z := newZoneSim(t, 12, 1)
--- a/internal/tokenhost/explain.go
+++ b/internal/tokenhost/explain.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// explanationsPerSecond limits the questions that the packet path answers;
-	// explanationBurst is the burst. One takes it about as long as some ten openings.
+	// explanationsPerSecond and explanationBurst limit the questions that the packet
+	// path answers, as it handles no packets in the meantime.
 	explanationsPerSecond = 5
 	explanationBurst      = 5
 	// explanationTimeout limits the wait for the packet path, which answers between
--- a/protocol/gossip/summary_test.go
+++ b/protocol/gossip/summary_test.go
@@ -27,8 +27,8 @@
 	return m
 }
 
-// Inter-zone traffic is expensive: a summary of 20 services with traffic, of all 733
-// targets with two slots, stays within 400 bytes.
+// Guards against summaries that cause much traffic between zones, which is expensive: one
+// of 20 services with all slots of 733 targets stays within 400 bytes.
 func TestSummarySize(t *testing.T) {
 	is := is.New(t)
 	m := testSummary(20, 2*733/20)
--- a/transport/direct/direct.go
+++ b/transport/direct/direct.go
@@ -96,11 +96,11 @@
 	view  atomic.Pointer[fleet.View]
 	loads atomic.Pointer[steering.PeerLoads]
 	stats atomic.Pointer[Stats]
-	// question is the question that Run answers next, nil if there is none. asking
+	// question is the question that Run answers next, nil if there is none. questionMu
 	// admits one question at a time; Run does not lock it.
-	question atomic.Pointer[question]
-	asking   sync.Mutex
-	closed   atomic.Bool
+	question   atomic.Pointer[question]
+	questionMu sync.Mutex
+	closed     atomic.Bool
 	// hasView is set once a view was applied.
 	hasView atomic.Bool
 	// cutOff is the last result of Steering.CutOff.
@@ -254,8 +254,8 @@
 	}
 }
 
-// tick applies a new view and new peer loads, and answers a question. When their intervals have passed, it
-// also ticks the steering and publishes the counters.
+// tick applies a new view and new peer loads, and answers a question. When their
+// intervals have passed, it also ticks the steering and publishes the counters.
 func (s *Server) tick(now time.Duration) {
 	if v := s.view.Load(); v != s.appliedView {
 		s.setView(now, v)
--- a/transport/direct/explain.go
+++ b/transport/direct/explain.go
@@ -14,7 +14,8 @@
 // not run, or the host is overloaded.
 var ErrNoAnswer = errors.New("the packet path does not answer")
 
-// question asks the packet path where an opening of a flow would be placed.
+// question is a request for the placement of an opening of a flow. The packet path
+// sends the result.
 type question struct {
 	flow   packet.Flow
 	result chan explanation // has room for the result
@@ -28,8 +29,8 @@
 // Explain says where an opening of a flow would be placed now, and why. Run computes
 // the answer between two packets, since it owns the state.
 func (s *Server) Explain(ctx context.Context, flow packet.Flow) (*explain.Answer, error) {
-	s.asking.Lock()
-	defer s.asking.Unlock()
+	s.questionMu.Lock()
+	defer s.questionMu.Unlock()
 	q := &question{flow: flow, result: make(chan explanation, 1)}
 	s.question.Store(q)
 	// The error is ignored: it means that the socket is closed.
@@ -43,7 +44,7 @@
 	}
 }
 
-// answer answers a question.
+// answer computes the answer to a question and sends it.
 func (s *Server) answer(now time.Duration, q *question) {
 	s.question.CompareAndSwap(q, nil)
 	var r explanation
--- a/transport/follow/list.go
+++ b/transport/follow/list.go
@@ -66,9 +66,9 @@
 	f.pos, f.listed, f.lastList = all.Position(), true, f.cfg.Clock()
 	f.targetsDiffer = false
 	if feed != nil && (f.pos.Before(former) || fromTable) {
-		// Hosts at the former position could not apply it. After a table of another
-		// host, others may have been ahead of it: what was written and undone since is
-		// no difference here, but is one there.
+		// Hosts at the former position could not apply the feed. If the former position
+		// is that of another host's table, hosts may be ahead of it. They may know of
+		// a change that was undone since, which the feed lacks.
 		feed = nil
 	}
 	if feed != nil {
--- a/transport/follow/table.go
+++ b/transport/follow/table.go
@@ -157,15 +157,8 @@
 		return
 	}
 	var missing []fleet.TargetKey
+	all.Entries, missing = f.joinPages(t.pages)
 	age := time.Duration(first.AgeMS) * time.Millisecond
-	for _, p := range t.pages {
-		for _, e := range p.Entries {
-			all.Entries = append(all.Entries, store.Entry{Key: e.Key, Value: e.Value, Revision: e.Revision})
-			if e.Missing && e.Key.HasPrefix(f.cfg.Keys.Targets) {
-				missing = append(missing, f.targetKey(e.Key))
-			}
-		}
-	}
 	now := f.cfg.Clock()
 	f.dir.StoreLost()
 	if f.pos.Index == 0 {
@@ -193,6 +186,20 @@
 	f.wake()
 }
 
+// joinPages returns the entries of a table's pages, and the targets that the sender
+// knows as missing.
+func (f *Follower) joinPages(pages []*gossip.TablePage) (entries []store.Entry, missing []fleet.TargetKey) {
+	for _, p := range pages {
+		for _, e := range p.Entries {
+			entries = append(entries, store.Entry{Key: e.Key, Value: e.Value, Revision: e.Revision})
+			if e.Missing && e.Key.HasPrefix(f.cfg.Keys.Targets) {
+				missing = append(missing, f.targetKey(e.Key))
+			}
+		}
+	}
+	return entries, missing
+}
+
 // confirmTable records that a list or the reader's checksum agrees with the table that
 // this host took from another one.
 func (f *Follower) confirmTable(by string) {
--- a/transport/follow/table_test.go
+++ b/transport/follow/table_test.go
@@ -302,9 +302,9 @@
 	})
 }
 
-// Two hosts without a view have nothing for each other, nor has a build that serves no
-// tables. The store gives them their view when it is back.
-func TestNoTableToBeHad(t *testing.T) {
+// Guards against hosts that stay without a view after the store is back because no other
+// host had a table: two hosts without a view, and a build that serves no tables.
+func TestNoHostHasATable(t *testing.T) {
 	for name, withoutView := range map[string]bool{"no view": true, "older build": false} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/transport/gossip/allotments_test.go
+++ b/transport/gossip/allotments_test.go
@@ -10,8 +10,8 @@
 	"github.com/jujubehaven/jujubehaven/coordination/allotment"
 )
 
-// Over real sockets each host of a large zone gets its share of the slots, and a
-// share that expires is logged. A host that allots none gets no share.
+// Guards against shares that do not arrive over real sockets, that expire without a log
+// line, or that a host without allotments gets.
 func TestLargeZoneSharesOutSlots(t *testing.T) {
 	is := is.New(t)
 	targets := func() []allotment.Target {
--- a/transport/gossip/crosszone_test.go
+++ b/transport/gossip/crosszone_test.go
@@ -224,7 +224,7 @@
 	})
 }
 
-// Without the setting no summary is sent or used.
+// Guards against summaries that are sent or used without the setting.
 func TestSummariesAreOptional(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		hosts := startZones(t, &zonesNetwork{conns: map[netip.AddrPort]*zonesConn{}}, map[string]int{"a": 12, "b": 12}, false)
@@ -234,8 +234,8 @@
 	})
 }
 
-// A summary that its receiver cannot use is ignored: without contents, of the own
-// zone, or forwarded to a host that is not the reader.
+// Guards against the use of a summary without contents, of the own zone, or forwarded to
+// a host that is not the reader.
 func TestUnusableSummaries(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := &zonesNetwork{conns: map[netip.AddrPort]*zonesConn{}}
