--- a/coordination/changes/claims.go
+++ b/coordination/changes/claims.go
@@ -129,8 +129,8 @@
 	return false
 }
 
-// errClaimLost means that the claim of a change is not in the store, which has
-// returned from an older copy.
+// errClaimLost means that the claim of a change is not in the store, which was
+// restored from an older copy.
 var errClaimLost = errors.New("the claim of the change is not in the store")
 
 // acquireClaim reads the claims and documents, checks the service against both
--- a/coordination/changes/error.go
+++ b/coordination/changes/error.go
@@ -74,7 +74,7 @@
 	Diff string
 	// MayHaveRun is set when this change may have been in force for a time.
 	MayHaveRun bool
-	// ClaimLost is set when the store has returned from an older copy, which lacks
+	// ClaimLost is set when the store was restored from an older copy, which lacks
 	// the claim of this change. Nobody has changed the document.
 	ClaimLost bool
 }
--- a/coordination/changes/guard.go
+++ b/coordination/changes/guard.go
@@ -111,7 +111,7 @@
 }
 
 // guardLost reports whether a guard is not in the store, or may not be: its write has
-// taken effect, or the store has returned from a copy that lacks it.
+// taken effect, or the store was restored from a copy that lacks it.
 func (w *Writer) guardLost(ctx context.Context, guard store.Guard) bool {
 	entry, err := w.store.Get(ctx, guard.Key)
 	return err != nil || entry.Revision != guard.Revision
--- a/coordination/changes/race_test.go
+++ b/coordination/changes/race_test.go
@@ -20,13 +20,13 @@
 	raceServices  = 4
 	raceAddresses = 5
 	raceSeed      = 1
-	// With these numbers, most changes are written while the store returns.
-	returnChanges   = 40
-	returnAddresses = 8
-	// maxTimeToReturn bounds the time until the store returns from a copy again,
-	// maxCopyAge the age of the copy. A change takes about a millisecond.
-	maxTimeToReturn = 4 * time.Millisecond
-	maxCopyAge      = 2 * time.Millisecond
+	// With these numbers, most changes are written while restores go on.
+	restoreChanges   = 40
+	restoreAddresses = 8
+	// maxTimeToRestore bounds the time until the store is restored from a copy again,
+	// maxCopyAge the age of the copy. Both are a few times as long as a change.
+	maxTimeToRestore = 4 * time.Millisecond
+	maxCopyAge       = 2 * time.Millisecond
 )
 
 // race records which change was reported as written for each generation.
@@ -34,8 +34,8 @@
 	fixture
 	mu      sync.Mutex
 	written map[string]string
-	// returns is set if the store returns from older copies.
-	returns bool
+	// restores is set if the store is restored from older copies.
+	restores bool
 	// changes is the number of changes of each operator, addresses that of the
 	// addresses that they use.
 	changes, addresses int
@@ -57,20 +57,21 @@
 	r.True(len(r.written) > raceServices) // some changes were written
 }
 
-// The same while the store returns from older copies: a claim and the check that it
-// stands for may be lost between any two calls, and revisions are given out again.
+// Guards against two services with one address, and against lost changes, while the store
+// is restored from older copies: a claim may be lost between any two calls, and revisions
+// are given out again.
 func TestManyOperatorsWhileTheStoreReturns(t *testing.T) {
 	t.Logf("seed %d", raceSeed)
-	r := &race{fixture: newFixture(t), returns: true, changes: returnChanges, addresses: returnAddresses}
+	r := &race{fixture: newFixture(t), restores: true, changes: restoreChanges, addresses: restoreAddresses}
 	done := make(chan struct{})
-	var returning, operators sync.WaitGroup
-	returning.Go(func() {
+	var restoring, operators sync.WaitGroup
+	restoring.Go(func() {
 		rng := rand.New(rand.NewPCG(raceSeed, raceOperators))
 		for {
 			select {
 			case <-done:
 				return
-			case <-time.After(time.Duration(rng.IntN(int(maxTimeToReturn)))):
+			case <-time.After(time.Duration(rng.IntN(int(maxTimeToRestore)))):
 				if err := r.platform.Restore(time.Duration(rng.IntN(int(maxCopyAge)))); err != nil {
 					t.Error(err)
 				}
@@ -82,7 +83,7 @@
 	}
 	operators.Wait()
 	close(done)
-	returning.Wait()
+	restoring.Wait()
 	t.Logf("%d changes written, %d conflicts", r.writes, r.conflicts)
 	r.True(r.writes > raceServices) // some changes were written
 	r.True(r.conflicts > 0)
@@ -122,7 +123,7 @@
 		return
 	}
 	r.writes++
-	if r.returns {
+	if r.restores {
 		return // a lost generation is written again
 	}
 	id := fmt.Sprintf("%s generation %d", plan.Key, plan.Next.Document.Generation())
--- a/coordination/changes/restore_test.go
+++ b/coordination/changes/restore_test.go
@@ -27,7 +27,7 @@
 	return entry.Revision
 }
 
-// reissue lets the store return from the marked copy and writes a value under a key
+// reissue restores the store from the marked copy and writes a value under a key
 // so that it gets a revision that was given out before.
 func (f fixture) reissue(key store.Key, value []byte, revision store.Revision) {
 	f.t.Helper()
@@ -72,7 +72,7 @@
 	f.Equal(f.guards(), 0)
 }
 
-// The same while nothing reads or writes: the return is between the plan and the write.
+// Guards against the same failure if the restore is between the plan and the write.
 func TestRevisionReissuedBeforeTheWriteBeginsConflicts(t *testing.T) {
 	f := newFixture(t)
 	f.mustApply(ordersText, "")
@@ -88,8 +88,8 @@
 	f.Equal(string(f.stored(ordersKey).Text), string(theirs))
 }
 
-// The contents are what a change relies on: one whose base has another revision
-// after the store's return is written.
+// Guards against a conflict although the contents that a change relies on are the same:
+// only the revision of its base is another after the store's restore.
 func TestSameContentsUnderAnotherRevision(t *testing.T) {
 	f := newFixture(t)
 	f.mustApply(ordersText, "")
@@ -210,7 +210,7 @@
 }
 
 // Guards against a change that is reported as written although the store has lost it:
-// the answer to its write was lost, then the store returned from a copy, and another
+// the answer to its write was lost, then the store was restored from a copy, and another
 // operator's change got its revision.
 func TestLostAnswerAcrossTheReturn(t *testing.T) {
 	for _, replaced := range []bool{true, false} {
@@ -249,7 +249,8 @@
 	}
 }
 
-// The answers to guards are lost: the change is still written once.
+// Guards against a change that fails, or is written twice, because answers to guards are
+// lost.
 func TestLostAnswersToGuards(t *testing.T) {
 	f := newFixture(t)
 	f.platform.SetFaults(platform.Faults{LoseGuardAnswers: 2})
--- a/coordination/changes/writer.go
+++ b/coordination/changes/writer.go
@@ -260,7 +260,7 @@
 
 // mayHaveRun reports whether a change that is not in the store may have been in force
 // for a time. As long as its guard is in the store, an attempt has had no effect. That
-// would be wrong only after a return from a copy that was made between the creation
+// would be wrong only after a restore from a copy that was made between the creation
 // of the guard and its write.
 func (w *Writer) mayHaveRun(ctx context.Context, unanswered []store.Guard) bool {
 	lost := false
--- a/coordination/documents/watcher.go
+++ b/coordination/documents/watcher.go
@@ -11,11 +11,11 @@
 	// WatchTimeout is how long a watch waits for a change. If the store has lost
 	// its history, a watch waits for the whole time.
 	WatchTimeout = 3 * time.Second
-	// RereadInterval is the longest time between reads: after the store has
-	// returned from an older copy, its index may reach that of a watch again, by the
-	// same last write, without notice.
+	// RereadInterval is the longest time between reads: after the store
+	// was restored from an older copy, its index may reach that of a watch again, by
+	// the same last write, without notice.
 	RereadInterval = 2 * time.Minute
-	// RestoreGrace is how long after the store's return from an older copy the copy
+	// RestoreGrace is how long after the store's restore from an older copy the copy
 	// does not override what a host knows of leaving hosts. What was lost is written
 	// again within seconds.
 	RestoreGrace = 4500 * time.Millisecond
@@ -51,7 +51,7 @@
 
 // Watcher decides how one prefix of the store is followed: read once, then
 // watch, and read again after each change, at long intervals, and once more when
-// RestoreGrace has passed since the store returned from a copy. Failed calls
+// RestoreGrace has passed since the store was restored from a copy. Failed calls
 // are retried with exponential backoff and jitter, so that hosts don't all
 // return to a recovering store at once. It is not safe for concurrent use.
 type Watcher struct {
@@ -64,7 +64,7 @@
 	lastStep time.Duration
 	// nextRead is when to read next even without a change.
 	nextRead time.Duration
-	// graceEnd is the end of the grace after the store returned from a copy.
+	// graceEnd is the end of the grace after the store was restored from a copy.
 	graceEnd time.Duration
 }
 
@@ -92,7 +92,7 @@
 }
 
 // ReadDone records a successful read as of the position. It reports whether the read
-// is the first after the store returned from an older copy.
+// is the first after the store was restored from an older copy.
 func (w *Watcher) ReadDone(at store.Position) (restored bool) {
 	restored = w.position.Index != 0 && !continues(w.position, at)
 	w.nextRead = w.lastStep + randomDuration(w.rand, RereadInterval/2, RereadInterval)
--- a/coordination/fleet/directory_test.go
+++ b/coordination/fleet/directory_test.go
@@ -177,7 +177,7 @@
 }
 
 // Guards against a target that has left, or is about to, getting new flows again
-// because the store returned from a copy that is older. What a newer incarnation
+// because the store was restored from a copy that is older. What a newer incarnation
 // wrote is never older.
 func TestKeepsTargetThatIsNewerThanACopy(t *testing.T) {
 	draining, later := target("t1", 2), target("t1", 5)
--- a/coordination/store/position.go
+++ b/coordination/store/position.go
@@ -2,8 +2,8 @@
 
 import "cmp"
 
-// Epoch numbers the histories of a store. It rises when the store returns from an
-// older copy of its data: what was written since the copy is lost, and indexes and
+// Epoch numbers the histories of a store. It rises when the store is restored from
+// an older copy of its data: what was written since the copy is lost, and indexes and
 // revisions are issued again for other contents. 0 means that the store does not
 // report its epoch.
 type Epoch uint64
--- a/coordination/store/store.go
+++ b/coordination/store/store.go
@@ -59,7 +59,7 @@
 func (s *Snapshot) Position() Position { return Position{Epoch: s.Epoch, Index: s.Index} }
 
 // Guard is an entry under a key that is used once. A revision does not identify a
-// value: a store that has returned from an older copy gives it out again for another
+// value: a store that was restored from an older copy gives it out again for another
 // one. The copy has either both the guard and all that was written before it, or no
 // guard. So a guarded write relies on a value only if it was read after the guard was
 // created and has a lower revision than the guard.
@@ -90,7 +90,7 @@
 	PutGuarded(ctx context.Context, key Key, value []byte, expected Revision, guard Guard) error
 	// Watch returns the position of the last change under the prefix once its index
 	// is above that of after, or when wait has passed. With after zero it returns at
-	// once. A position of another epoch means that the store has returned from an
+	// once. A position of another epoch means that the store was restored from an
 	// older copy: the caller has to call List again and watch from its position.
 	Watch(ctx context.Context, prefix Key, after Position, wait time.Duration) (Position, error)
 }
--- a/internal/cli/doccmd/doccmd_test.go
+++ b/internal/cli/doccmd/doccmd_test.go
@@ -190,7 +190,7 @@
 	f.expect(ExitOK, "result=unchanged", "zone", "out", "north") // the retry finds the change written
 }
 
-// reissue lets the platform return from a copy that lacks the writes of the last
+// reissue restores the platform from a copy that lacks the writes of the last
 // minute and writes a value so that it gets a revision that was given out before.
 func (f fixture) reissue(key store.Key, value string, revision store.Revision) {
 	f.NoErr(f.platform.Restore(time.Second))
@@ -207,7 +207,7 @@
 }
 
 // Guards against commands that overwrite another operator's change, or give one
-// address to two services, because the platform returns from an older copy between a
+// address to two services, because the platform is restored from an older copy between a
 // command's read and its write and gives out a revision again.
 func TestPlatformReturnsDuringACommand(t *testing.T) {
 	f := newFixture(t)
--- a/internal/cli/doccmd/exit.go
+++ b/internal/cli/doccmd/exit.go
@@ -20,7 +20,7 @@
 	// ExitInput means a bad document, argument or flag; nothing was written.
 	ExitInput = 2
 	// ExitConflict means that the document was changed concurrently, or that the store
-	// returned from an older copy during the change.
+	// was restored from an older copy during the change.
 	ExitConflict = 3
 	// ExitRefused means that another team owns the document.
 	ExitRefused = 4
--- a/internal/fakes/platform/platform.go
+++ b/internal/fakes/platform/platform.go
@@ -41,7 +41,7 @@
 
 // view is one version of the stored data.
 type view struct {
-	// epoch counts the returns from older copies.
+	// epoch counts the restores from older copies.
 	epoch   store.Epoch
 	index   store.Index
 	entries map[store.Key]store.Entry
--- a/internal/fakes/platform/restore.go
+++ b/internal/fakes/platform/restore.go
@@ -53,7 +53,7 @@
 	delete(m, key)
 }
 
-// Restore lets the service return from a copy of its data that was made age ago:
+// Restore restores the service from a copy of its data that was made age ago:
 // what was written since is lost, and its indexes are given out again. Values are
 // not renumbered. It fails if the changes since then are no longer recorded.
 func (p *Platform) Restore(age time.Duration) error {
--- a/internal/zonemodel/model_test.go
+++ b/internal/zonemodel/model_test.go
@@ -1,7 +1,8 @@
 // Package zonemodel tests the hosts of one availability zone together in virtual
 // time: the follower of the store, the exchange of feeds and the choice of the
 // reader. The histories are random: targets and zones come and go while hosts are
-// killed, datagrams are lost and the store is away or returns from an older copy.
+// killed, datagrams are lost and the store is unreachable or restored from an older
+// copy.
 // A failed history is repeated by its seed.
 package zonemodel
 
@@ -23,10 +24,10 @@
 	// checkInterval is the time between two checks of all hosts.
 	checkInterval = 20 * time.Millisecond
 	// copyInterval is the time between two copies of the store; maxCopies bounds
-	// the age of the copy that it returns from.
+	// the age of the copy that it is restored from.
 	copyInterval = 500 * time.Millisecond
 	maxCopies    = 12
-	// rewriteTime is within how long after the store's return the operator has
+	// rewriteTime is within how long after the store's restore the operator has
 	// written its entries again.
 	rewriteTime = 2 * time.Second
 	// maxRefusal bounds how long the store refuses a host that has started again.
@@ -70,11 +71,11 @@
 	copies    []storeState
 	nextCopy  time.Time
 	returnAt  time.Time // zero while the store answers
-	// restoreFrom is the copy that the store returns from, nil if it keeps its data.
+	// restoreFrom is the copy that the store is restored from, nil if it keeps its data.
 	restoreFrom *storeState
 	rewriteAt   map[store.Key]time.Time
 	lastWrite   time.Time
-	// lastReturn is when the store last answered again: hosts learn of its return
+	// lastReturn is when the store last answered again: hosts learn of its restore
 	// from a copy then.
 	lastReturn time.Time
 	// lastStart is when a host last started again. It tells others of the operator's
@@ -168,8 +169,8 @@
 
 func (m *model) wrote() { m.lastWrite = time.Now() }
 
-// takeAway makes the store unreachable for a while. It returns from a copy or with
-// all of its data.
+// takeAway makes the store unreachable for a while. It is then restored from a
+// copy or has all of its data.
 func (m *model) takeAway(fromCopy bool) {
 	if !m.returnAt.IsZero() {
 		return
--- a/internal/zonemodel/zone_test.go
+++ b/internal/zonemodel/zone_test.go
@@ -23,8 +23,8 @@
 	warmUpTime = 3 * time.Second
 	// settleTime is how long after the last write all hosts must know everything.
 	settleTime = 3 * time.Second
-	// graceTime is how long after the store's return from a copy hosts may keep
-	// what the store no longer holds, plus the time to notice the return, to list the
+	// graceTime is how long after the store's restore from a copy hosts may keep
+	// what the store no longer holds, plus the time to notice the restore, to list the
 	// store once more, to repeat a lost feed and to replace a reader that was killed.
 	graceTime = 10 * time.Second
 )
@@ -36,7 +36,7 @@
 	act    func(m *model)
 }
 
-// restoreEvents are the events while the store may return from a copy.
+// restoreEvents are the events while the store may be restored from a copy.
 var restoreEvents = []eventKind{
 	{"join", 3, (*model).join},
 	{"leave", 4, (*model).leave},
@@ -168,7 +168,7 @@
 	return viewsWhileRefused
 }
 
-// The store returns from older copies, once or more, while targets, zones and the
+// The store is restored from older copies, once or more, while targets, zones and the
 // configuration change, the reader is killed, hosts are paused and feeds are lost.
 // Guards against hosts that take back what they knew, keep what the store does not
 // hold any more, or end the flows of a living target.
@@ -194,7 +194,7 @@
 }
 
 // The store refuses hosts for up to 5 s after they start, while most hosts or the
-// reader are killed and the store returns from copies. Guards against a table of
+// reader are killed and the store is restored from copies. Guards against a table of
 // another host that takes back what was known or ends the flows of a living target.
 func TestHistoriesWithRefusedStarts(t *testing.T) {
 	for _, size := range []struct{ hosts, targets, count int }{{2, 6, 50}, {12, 12, 20}, {29, 12, 5}} {
--- a/protocol/gossip/gossip.go
+++ b/protocol/gossip/gossip.go
@@ -176,7 +176,7 @@
 	// More is set if entries follow.
 	More bool `cbor:"6,keyasint,omitempty"`
 	// HeldMS is for how many milliseconds more the sender does not let the store,
-	// which has returned from an older copy, override what it knows.
+	// which was restored from an older copy, override what it knows.
 	HeldMS int64 `cbor:"7,keyasint,omitempty"`
 }
 
--- a/transport/consul/contract_test.go
+++ b/transport/consul/contract_test.go
@@ -84,8 +84,8 @@
 	return string(value)
 }
 
-// copied makes writes to a/1 a minute after the fixture's, lists a/, and lets the
-// platform return from a copy that lacks the writes. It returns the list.
+// copied makes writes to a/1 a minute after the fixture's, lists a/, and restores
+// the platform from a copy that lacks the writes. It returns the list.
 func (f fixture) copied(writes int) store.Snapshot {
 	f.Helper()
 	f.platform.AdvanceClock(time.Minute)
--- a/transport/consul/history.go
+++ b/transport/consul/history.go
@@ -11,7 +11,7 @@
 // maxPrefixes bounds the prefixes whose last list is remembered.
 const maxPrefixes = 64
 
-// history tells when the server returns from an older copy of its data, which it
+// history tells when the server is restored from an older copy of its data, which it
 // does not report. The documentation of blocking queries advises clients to reset
 // their index when it goes back. That misses a copy whose index has been passed
 // again in the meantime, so lists are compared as well. Epochs are numbered within
@@ -113,9 +113,9 @@
 	return h.epoch
 }
 
-// returned starts a new epoch, unless another response has done so since the request
+// restored starts a new epoch, unless another response has done so since the request
 // was sent, and returns the current one.
-func (h *history) returned(m mark) store.Epoch {
+func (h *history) restored(m mark) store.Epoch {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if m.epoch == h.epoch {
--- a/transport/consul/kv.go
+++ b/transport/consul/kv.go
@@ -127,7 +127,7 @@
 	case store.Index(entry.Revision) > unchanged.Index:
 		return store.Position{Epoch: listed.epoch, Index: store.Index(entry.Revision)}, nil
 	case stampOf(entry) != listed.list.entries[key]:
-		return store.Position{Epoch: c.history.returned(listed), Index: unchanged.Index}, nil
+		return store.Position{Epoch: c.history.restored(listed), Index: unchanged.Index}, nil
 	}
 	return unchanged, nil
 }
--- a/transport/consul/txn.go
+++ b/transport/consul/txn.go
@@ -33,8 +33,9 @@
 	Results []struct{ KV kvPair }
 }
 
-// permissionDenied is part of the body of a transaction that the ACL token does not
-// allow. Its status is that of a conflict.
+// permissionDenied is part of the body of the response to a transaction that the ACL
+// token does not allow. Its status is that of a conflict. The first letter is left out,
+// so that both cases match.
 var permissionDenied = []byte("ermission denied")
 
 // CreateGuard implements store.Store with an empty value under a random key.
--- a/transport/docsource/docsource.go
+++ b/transport/docsource/docsource.go
@@ -193,7 +193,7 @@
 }
 
 // holdLeaving keeps the hosts that are leaving as such until the grace after the
-// store's return from an older copy is over. The list of hosts is read again then.
+// store's restore from an older copy is over. The list of hosts is read again then.
 func (s *Source) holdLeaving() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/transport/docsource/docsource_test.go
+++ b/transport/docsource/docsource_test.go
@@ -370,7 +370,7 @@
 				time.Sleep(time.Second)
 				is.True(a.draining())
 				is.NoErr(n.platform.Restore(5 * time.Second))
-				n.writeHosts(append(before, listedHost(2, hostlist.Live))...) // the first write after the return
+				n.writeHosts(append(before, listedHost(2, hostlist.Live))...) // the first write after the restore
 				time.Sleep(time.Second)
 				is.True(a.draining())
 				n.writeHosts(listedHost(1, hostlist.Live), listedHost(2, hostlist.Leaving))
--- a/transport/docsource/follow.go
+++ b/transport/docsource/follow.go
@@ -21,7 +21,7 @@
 	watcher *documents.Watcher
 	wanted  func() bool
 	// receive processes the entries under the prefix. restored is set if they are the
-	// first since the store returned from an older copy.
+	// first since the store was restored from an older copy.
 	receive func(entries []store.Entry, restored bool)
 	// failing is set while calls fail, so that only the first failure is logged.
 	failing bool
--- a/transport/follow/calls.go
+++ b/transport/follow/calls.go
@@ -25,7 +25,7 @@
 	// ReasonMismatch lists all entries because the view of this host differs from
 	// that of the zone's reader at the same position.
 	ReasonMismatch Reason = "mismatch"
-	// ReasonRestored lists all entries because the grace after the store's return
+	// ReasonRestored lists all entries because the grace after the store's restore
 	// from an older copy is over.
 	ReasonRestored Reason = "restored"
 	// ReasonUnknownToken is a call because of a packet whose token matches no
--- a/transport/follow/feed.go
+++ b/transport/follow/feed.go
@@ -124,7 +124,7 @@
 }
 
 // applyFeedChanges applies the changes of a feed up to a position that this host
-// lacks. A feed from an older epoch has what changed by the store's return, whose
+// lacks. A feed from an older epoch has what changed by the store's restore, whose
 // revisions are not comparable with this host's.
 func (f *Follower) applyFeedChanges(changes []gossip.Change, to store.Position) {
 	crossesEpochs := f.pos.Epoch != to.Epoch
--- a/transport/follow/follow.go
+++ b/transport/follow/follow.go
@@ -146,7 +146,7 @@
 	// operator holds the operator's entries that the store holds, as true, and those
 	// that were deleted, as false.
 	operator map[store.Key]bool
-	// heldUntil is the end of the grace after the store returned from a copy.
+	// heldUntil is the end of the grace after the store was restored from a copy.
 	// relistPending is set until the list that follows it.
 	heldUntil     time.Duration
 	relistPending bool
@@ -181,7 +181,7 @@
 	Rejected int
 	// Feeds counts the applied feeds of other hosts.
 	Feeds uint64
-	// Epoch is the epoch of the store, Restores counts its returns from a copy and
+	// Epoch is the epoch of the store, Restores counts its restores from a copy and
 	// Kept the entries of copies that did not override what was known.
 	Epoch    store.Epoch
 	Restores uint64
--- a/transport/follow/restore.go
+++ b/transport/follow/restore.go
@@ -19,7 +19,7 @@
 // The zone's reader then lists once more, and the store's contents hold.
 
 const (
-	// restoreGrace is how long after the store's return from a copy the copy does
+	// restoreGrace is how long after the store's restore from a copy the copy does
 	// not override what a host knows: longer than the three heartbeats after which
 	// the store drops the entry of a target that has left.
 	restoreGrace = 4500 * time.Millisecond
@@ -87,7 +87,7 @@
 	f.recent.reset(f.pos)
 }
 
-// restored reports whether a list shows that the store has returned from a copy
+// restored reports whether a list shows that the store was restored from a copy
 // since this host's position. Without epochs only an index that went back does.
 func (f *Follower) restored(all *store.Snapshot) bool {
 	if f.pos.Index == 0 {
@@ -96,7 +96,7 @@
 	return all.Epoch > f.pos.Epoch || (all.Epoch == f.pos.Epoch && all.Index < f.pos.Index)
 }
 
-// recordRestore records that the store has returned from a copy, at a position.
+// recordRestore records that the store was restored from a copy, at a position.
 func (f *Follower) recordRestore(at store.Position) {
 	now := f.cfg.Clock()
 	f.dir.ExpectRewrites(now)
--- a/transport/gossip/crosszone.go
+++ b/transport/gossip/crosszone.go
@@ -37,7 +37,7 @@
 		for _, z := range e.peers.SummaryReceivers(now) {
 			r.summaries = append(r.summaries, summaryMessage{
 				message: gossip.Message{Kind: gossip.KindSummary, From: e.cfg.Self, Summary: &gossip.Summary{
-					Sequence: e.cross.reader.Sequence(), Services: wireServices(e.cross.reader.For(z.Zone, zones)),
+					Sequence: e.cross.reader.Sequence(), Services: encodeServices(e.cross.reader.For(z.Zone, zones)),
 				}},
 				receivers: z.Hosts,
 			})
@@ -45,7 +45,7 @@
 		e.cross.table.PutRelayed(now, 0, e.cfg.Self.Zone, e.cross.reader.Own(zones))
 	}
 	if r.digest != nil {
-		r.digest.Zones = wireZones(now, e.cross.table.TakeChanged(now))
+		r.digest.Zones = encodeZones(now, e.cross.table.TakeChanged(now))
 	}
 	r.loads.At = now
 	r.loads.Zones = e.cross.table.Zones(now)
@@ -68,16 +68,22 @@
 	if m.Kind == gossip.KindDigest && m.Digest != nil && m.From.Zone == e.cfg.Self.Zone && e.peers.IsReader(now, m.From.Name) {
 		for _, z := range m.Digest.Zones {
 			age := min(time.Duration(z.AgeMS)*time.Millisecond, maxSummaryAge)
-			e.cross.table.PutRelayed(now, age, z.Zone, services(z.Services))
+			e.cross.table.PutRelayed(now, age, z.Zone, decodeServices(z.Services))
 		}
 		return nil, gossip.Host{}
 	}
 	if m.Kind != gossip.KindSummary || m.Summary == nil || m.From.Zone == e.cfg.Self.Zone {
 		return nil, gossip.Host{}
 	}
+	return e.receiveSummary(now, m)
+}
+
+// receiveSummary records a summary of another zone, or returns it if it is to be
+// forwarded to the zone's reader, with the reader.
+func (e *Exchange) receiveSummary(now time.Duration, m *gossip.Message) (*gossip.Message, gossip.Host) {
 	if e.peers.LeadsLargeZone() {
 		sender := crosszone.Sender{Name: m.From.Name, Incarnation: m.From.Started, Sequence: m.Summary.Sequence}
-		e.cross.table.Put(now, m.From.Zone, sender, services(m.Summary.Services))
+		e.cross.table.Put(now, m.From.Zone, sender, decodeServices(m.Summary.Services))
 		return nil, gossip.Host{}
 	}
 	reader, ok := e.peers.SummaryReader(now)
@@ -90,8 +96,8 @@
 	return &forwarded, reader
 }
 
-// services converts the entries of a received summary.
-func services(list []gossip.ServiceSummary) []crosszone.Service {
+// decodeServices converts the entries of a received summary.
+func decodeServices(list []gossip.ServiceSummary) []crosszone.Service {
 	converted := make([]crosszone.Service, len(list))
 	for i, s := range list {
 		converted[i] = crosszone.Service{
@@ -102,8 +108,8 @@
 	return converted
 }
 
-// wireServices converts the entries of a summary that is sent.
-func wireServices(list []crosszone.Service) []gossip.ServiceSummary {
+// encodeServices converts the entries of a summary that is sent.
+func encodeServices(list []crosszone.Service) []gossip.ServiceSummary {
 	converted := make([]gossip.ServiceSummary, len(list))
 	for i, s := range list {
 		converted[i] = gossip.ServiceSummary{
@@ -114,11 +120,11 @@
 	return converted
 }
 
-// wireZones converts the summaries for a digest.
-func wireZones(now time.Duration, zones []crosszone.Zone) []gossip.ZoneSummary {
+// encodeZones converts the summaries for a digest.
+func encodeZones(now time.Duration, zones []crosszone.Zone) []gossip.ZoneSummary {
 	list := make([]gossip.ZoneSummary, len(zones))
 	for i, z := range zones {
-		list[i] = gossip.ZoneSummary{Zone: z.Name, AgeMS: uint32((now - z.At).Milliseconds()), Services: wireServices(z.Services)}
+		list[i] = gossip.ZoneSummary{Zone: z.Name, AgeMS: uint32((now - z.At).Milliseconds()), Services: encodeServices(z.Services)}
 	}
 	return list
 }
