--- a/internal/cli/doccmd/capacity.go
+++ b/internal/cli/doccmd/capacity.go
@@ -53,11 +53,11 @@
 	return printCapacity(stdout(c), &capacity)
 }
 
-func fetchCapacity(ctx context.Context, from string) (wire.Capacity, error) {
+func fetchCapacity(ctx context.Context, reportURL string) (wire.Capacity, error) {
 	var capacity wire.Capacity
 	ctx, cancel := context.WithTimeout(ctx, balancerTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, from, http.NoBody)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, reportURL, http.NoBody)
 	if err != nil {
 		return capacity, errors.Wrap(err, "build request")
 	}
--- a/internal/cli/doccmd/doccmd_test.go
+++ b/internal/cli/doccmd/doccmd_test.go
@@ -304,8 +304,8 @@
 	f.True(strings.Contains(r.errOut, "older generation"))
 }
 
-// zone capacity prints what a host reports, as text and as JSON, and fails for a bad
-// flag, a host that does not answer and one that does not know the report.
+// Guards against a report that zone capacity prints incompletely, as text or as JSON, and
+// against success for a bad flag, a host that does not answer or one without the report.
 func TestZoneCapacity(t *testing.T) {
 	f := newFixture(t)
 	capacity := wire.Capacity{
--- a/internal/cli/explaincmd/explaincmd.go
+++ b/internal/cli/explaincmd/explaincmd.go
@@ -59,11 +59,11 @@
 	if cmd.Args().Present() {
 		return cli.Exit("explain: unexpected argument "+cmd.Args().First(), ExitUsage)
 	}
-	from, err := questionURL(cmd.String(flagAdmin), cmd.String(flagTo), cmd.String(flagFrom))
+	requestURL, err := questionURL(cmd.String(flagAdmin), cmd.String(flagTo), cmd.String(flagFrom))
 	if err != nil {
 		return cli.Exit("explain: "+err.Error(), ExitUsage)
 	}
-	answer, body, err := ask(ctx, from, cmd.Duration(flagTimeout))
+	answer, body, err := ask(ctx, requestURL, cmd.Duration(flagTimeout))
 	if err != nil {
 		return cli.Exit("explain: "+err.Error(), ExitFailed)
 	}
@@ -109,10 +109,10 @@
 }
 
 // ask sends the question and returns the answer, decoded and as received.
-func ask(ctx context.Context, from string, timeout time.Duration) (*explain.Answer, []byte, error) {
+func ask(ctx context.Context, requestURL string, timeout time.Duration) (*explain.Answer, []byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, from, http.NoBody)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, requestURL, http.NoBody)
 	if err != nil {
 		return nil, nil, errors.Wrap(err, "build request")
 	}
--- a/internal/cli/explaincmd/explaincmd_test.go
+++ b/internal/cli/explaincmd/explaincmd_test.go
@@ -56,8 +56,8 @@
 	},
 }
 
-// The text must show the choice, the reasons and all candidates, the best first, with
-// columns that this build does not know.
+// Guards against text that lacks the choice, a reason, a candidate or a column that this
+// build does not know, or that does not list the best candidate first.
 func TestText(t *testing.T) {
 	is := is.New(t)
 	url, question := host(t, http.StatusOK, answer)
@@ -75,7 +75,7 @@
 	is.True(strings.HasPrefix(lines[8], "t/0") && strings.Contains(lines[8], "draining"))
 }
 
-// --json must print the answer of the host with all its fields.
+// Guards against fields of the host's answer that --json leaves out.
 func TestJSON(t *testing.T) {
 	is := is.New(t)
 	url, _ := host(t, http.StatusOK, map[string]any{"chosen": "t/2", "later_field": 4})
@@ -84,7 +84,7 @@
 	is.True(strings.Contains(out, `"later_field":4`))
 }
 
-// Each failure must be told from the others by its message and exit code.
+// Guards against failures that can't be told apart by their messages and exit codes.
 func TestErrors(t *testing.T) {
 	noRoute, _ := host(t, http.StatusNotFound, explain.Problem{Error: "to 198.18.0.1:80: no route"})
 	older, _ := host(t, http.StatusNotFound, "404 page not found")
--- a/internal/fakes/platform/txn.go
+++ b/internal/fakes/platform/txn.go
@@ -3,9 +3,12 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"slices"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/jujubehaven/jujubehaven/coordination/store"
 )
 
@@ -77,24 +80,31 @@
 	What    string
 }
 
-// transact serves PUT /v1/txn. A transaction counts as a write of its last key, or as
-// the creation of a guard.
-func (s *Server) transact(w http.ResponseWriter, r *http.Request) {
+// parseTxn returns the operations of the body of PUT /v1/txn.
+func parseTxn(body io.Reader) ([]txnOp, error) {
 	var list []struct{ KV txnOp }
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, store.MaxValueBytes)).Decode(&list); err != nil {
-		http.Error(w, "Failed to parse body: "+err.Error(), http.StatusBadRequest)
-		return
+	if err := json.NewDecoder(body).Decode(&list); err != nil {
+		return nil, errors.Wrap(err, "Failed to parse body")
 	}
 	var ops []txnOp
 	for _, o := range list {
 		if !slices.Contains([]verb{verbCheckIndex, verbCAS, verbDelete}, o.KV.Verb) {
-			http.Error(w, fmt.Sprintf("verb %q is not supported", o.KV.Verb), http.StatusBadRequest)
-			return
+			return nil, errors.Newf("verb %q is not supported", o.KV.Verb)
 		}
 		ops = append(ops, o.KV)
 	}
 	if len(ops) == 0 {
-		http.Error(w, "no operations", http.StatusBadRequest)
+		return nil, errors.New("no operations")
+	}
+	return ops, nil
+}
+
+// transact serves PUT /v1/txn. A transaction counts as a write of its last key, or as
+// the creation of a guard.
+func (s *Server) transact(w http.ResponseWriter, r *http.Request) {
+	ops, err := parseTxn(http.MaxBytesReader(w, r.Body, store.MaxValueBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
 	key := ops[len(ops)-1].Key
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -60,8 +60,8 @@
 	Balancing Balancing
 }
 
-// Balancing switches on what hosts that steer by token decide together under high
-// load.
+// Balancing switches on the optional methods by which hosts that steer by token balance
+// high load.
 type Balancing struct {
 	// Allotments lets the hosts of a large zone share out the slots of targets.
 	Allotments bool
--- a/internal/tokenhost/capacity_test.go
+++ b/internal/tokenhost/capacity_test.go
@@ -20,8 +20,8 @@
 	"github.com/jujubehaven/jujubehaven/protocol/report"
 )
 
-// The summaries that reach the packet path show at the admin address and in the
-// metrics, and the loads of the packet path reach the exchange with other hosts.
+// Guards against summaries at the packet path that are missing at the admin address or
+// in the metrics, and against loads that do not reach the exchange with other hosts.
 func TestCapacityIsReported(t *testing.T) {
 	is := is.New(t)
 	x := newTestHost(t, func(s *settings.Settings) {
--- a/internal/tokenhost/explain_test.go
+++ b/internal/tokenhost/explain_test.go
@@ -17,8 +17,8 @@
 	"github.com/jujubehaven/jujubehaven/protocol/packet"
 )
 
-// A running host must explain a placement at its admin address without placing
-// anything, also while it gets no packets.
+// Guards against a question that places a flow, or that is not answered while the host
+// gets no packets.
 func TestExplain(t *testing.T) {
 	is := is.New(t)
 	x := newTestHost(t)
@@ -57,7 +57,8 @@
 	}
 }
 
-// A host whose packet path has no view, or does not run, must say so.
+// Guards against a question that blocks or gets a wrong answer because the packet path
+// has no view or does not run.
 func TestExplainWithoutView(t *testing.T) {
 	is := is.New(t)
 	x := newIdleTestHost(t)
@@ -79,7 +80,7 @@
 	is.NoErr(<-done)
 }
 
-// Questions beyond the rate must be refused without reaching the packet path.
+// Guards against many questions that keep the packet path from handling packets.
 func TestExplainIsBounded(t *testing.T) {
 	is := is.New(t)
 	x := newIdleTestHost(t)
@@ -92,8 +93,8 @@
 	is.True(strings.Contains(w.Body.String(), fmt.Sprint(explanationsPerSecond)))
 }
 
-// Concurrent questions must each get the answer to their own flow, while packets are
-// handled.
+// Guards against concurrent questions that get each other's answers, or that stop the
+// handling of packets.
 func TestConcurrentQuestions(t *testing.T) {
 	is := is.New(t)
 	x := newTestHost(t)
--- a/transport/gossip/gossip_test.go
+++ b/transport/gossip/gossip_test.go
@@ -264,8 +264,8 @@
 	is.Equal(len(seed.receivedFeeds()), 0)
 }
 
-// A host asks one after the other for a table, also in other zones, and goes on with
-// the one that it names. A host without a view does not reply.
+// Guards against a host that asks only one host for a table: it asks one after the other,
+// also in other zones, or the one that it names. A host without a view does not reply.
 func TestTableIsFetched(t *testing.T) {
 	is := is.New(t)
 	without := startHost(t, "h1", "a")
