--- a/coordination/peers/allotments.go
+++ b/coordination/peers/allotments.go
@@ -37,10 +37,10 @@
 	allotter          *allotment.Allotter
 	table             *allotment.Table
 	firstSeq, lastSeq uint64
-	// reported is set since reportedSince while the other hosts send their reports to
-	// this one.
-	reported      bool
-	reportedSince time.Duration
+	// receiving is set while the other hosts send their reports to this one, which
+	// they have done since receivingSince.
+	receiving      bool
+	receivingSince time.Duration
 }
 
 // Allot computes the table of this round if this host is the reader of a large zone
@@ -50,13 +50,13 @@
 	a := &p.allotments
 	a.table = nil
 	if !p.large() || !p.receivesReports() {
-		a.reported, a.allotter = false, nil
+		a.receiving, a.allotter = false, nil
 		return
 	}
-	if !a.reported {
-		a.reported, a.reportedSince = true, now
+	if !a.receiving {
+		a.receiving, a.receivingSince = true, now
 	}
-	if !p.leads || len(targets) == 0 || now < a.reportedSince+reportRound || !p.mostHostsReport(now) {
+	if !p.leads || len(targets) == 0 || now < a.receivingSince+reportRound || !p.mostHostsReport(now) {
 		a.allotter = nil
 		return
 	}
@@ -69,9 +69,10 @@
 	p.setShare(now, gossip.ReaderID(p.self), a.table.Seq, own)
 }
 
-// endReports records that this host was stalled: what it holds of other hosts'
-// reports may be old, and other hosts may have allotted slots meanwhile.
-func (a *allotments) endReports() { a.reported, a.allotter = false, nil }
+// reset makes this host wait for new reports before it allots slots again. It is called
+// after a stall of this host: the reports that it has may be old, and other hosts may
+// have allotted slots meanwhile.
+func (a *allotments) reset() { a.receiving, a.allotter = false, nil }
 
 // receivesReports reports whether the other hosts send their reports to this one: it
 // is the reader or its standby.
@@ -95,7 +96,7 @@
 // hasReported reports whether a host has sent a report lately. Reports that arrive
 // right at the end of a stall of this host are old: they waited in its socket.
 func (p *Peers) hasReported(now time.Duration, other *peer) bool {
-	return p.reports(now, other, p.reportWindow()) && other.lastHeartbeat >= p.allotments.reportedSince+HeartbeatInterval/2
+	return p.reports(now, other, p.reportWindow()) && other.lastHeartbeat >= p.allotments.receivingSince+HeartbeatInterval/2
 }
 
 // demand returns the reports of the live hosts that use allotments.
--- a/coordination/peers/rounds.go
+++ b/coordination/peers/rounds.go
@@ -32,7 +32,7 @@
 func (p *Peers) NextRound(now time.Duration, heartbeatBytes int, loads []gossip.TargetLoad, answers []uint32) []gossip.Host {
 	if now > p.lastRound+stallTimeout {
 		p.readerSeen = now
-		p.allotments.endReports()
+		p.allotments.reset()
 	}
 	p.round++
 	p.lastRound = now
--- a/protocol/gossip/feed_test.go
+++ b/protocol/gossip/feed_test.go
@@ -67,7 +67,7 @@
 
 // Guards against feeds that no host sends and that would mislead a receiver: a
 // negative or overflowing age makes a view look fresher than it is, positions in the
-// wrong order make changes look like news.
+// wrong order make known changes look new.
 func TestWrongFeedsAreRejected(t *testing.T) {
 	for name, spoil := range map[string]func(m *Message){
 		"epoch goes back":      func(m *Message) { m.Feed.Epoch = 1 },
--- a/transport/follow/table_test.go
+++ b/transport/follow/table_test.go
@@ -413,9 +413,9 @@
 	})
 }
 
-// Guards against hosts that miss the end of an evacuation: the first list of a host
-// with another's table has no difference where a zone went out and back since, while a
-// host that was ahead of the table has it as out.
+// Guards against hosts that miss the end of an evacuation: if a zone went out and back
+// after a host's table was made, its first list shows no difference from the table, but
+// a host that was ahead of the table knows the zone as out.
 func TestFirstListAfterATableIsNotPassedOn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newTableHosts(t, 1)
@@ -439,7 +439,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		h := newTableHosts(t, 1)
 		h.starter.start(t)
-		time.Sleep(2 * restoreGrace) // it would tell of the operator's state by now
+		time.Sleep(2 * restoreGrace) // otherwise its feeds would carry the operator's state by now
 		h.True(h.starter.isUnconfirmed())
 		second := newFixture(time.Hour)
 		for after, more := store.Key(""), true; more; {
@@ -449,7 +449,7 @@
 			more = page.More
 			after = page.Entries[len(page.Entries)-1].Key
 		}
-		h.Equal(second.position(), h.starter.position()) // a table at second hand
+		h.Equal(second.position(), h.starter.position()) // a table of a host that took it from another one
 		h.True(second.Stats().LastUpdate <= h.starter.Stats().LastUpdate)
 		changes := h.starter.ChangesSince(second.position())
 		h.True(changes != nil)
