--- a/coordination/crosszone/reader.go
+++ b/coordination/crosszone/reader.go
@@ -15,36 +15,38 @@
 	roundTolerance = 50 * time.Millisecond
 )
 
-// Reader is the part of a zone's reader. Every host has one; it does nothing while
+// Reader decides when the reader of a zone sends summaries, and makes them. Every host has one; it does nothing while
 // the host is not the reader of a large zone.
 type Reader struct {
 	zone       string
 	summarizer *Summarizer
-	// leadsSince is when the host became the reader or was last stalled.
-	leads                           bool
-	leadsSince, lastRound, lastSent time.Duration
-	sequence                        uint64
+	// isReader is set while the host is the reader, readerSince is when it became the
+	// reader or was last stalled.
+	isReader                         bool
+	readerSince, lastRound, lastSent time.Duration
+	sequence                         uint64
 }
 
 // NewReader returns the Reader of a host in a zone.
 func NewReader(zone string) *Reader { return &Reader{zone: zone, summarizer: NewSummarizer(zone)} }
 
-// Round is called once per round with the loads of this host's zone. It reports
-// whether summaries are to be sent now.
-func (r *Reader) Round(now time.Duration, leads bool, loads []Load) bool {
-	if !leads {
-		if r.leads {
+// Round is called once per round with the loads of this host's zone. isReader
+// is set if the host is the zone's reader. It reports whether summaries are to be sent
+// now.
+func (r *Reader) Round(now time.Duration, isReader bool, loads []Load) bool {
+	if !isReader {
+		if r.isReader {
 			r.summarizer = NewSummarizer(r.zone)
 		}
-		r.leads, r.lastRound = false, now
+		r.isReader, r.lastRound = false, now
 		return false
 	}
-	if !r.leads || now > r.lastRound+stallTimeout {
-		r.leads, r.leadsSince = true, now
+	if !r.isReader || now > r.lastRound+stallTimeout {
+		r.isReader, r.readerSince = true, now
 		r.summarizer = NewSummarizer(r.zone)
 	}
 	r.lastRound = now
-	if now < r.leadsSince+warmUp {
+	if now < r.readerSince+warmUp {
 		return false
 	}
 	r.summarizer.Update(loads)
--- a/coordination/crosszone/shares.go
+++ b/coordination/crosszone/shares.go
@@ -28,9 +28,9 @@
 	ValidUntil time.Duration
 }
 
-// Load returns the requests per slot at the zone's targets without those of this
+// RequestsPerSlot returns the requests per slot at the zone's targets without those of this
 // zone.
-func (d *Destination) Load() float64 { return float64(d.Busy) / float64(max(d.Slots, 1)) }
+func (d *Destination) RequestsPerSlot() float64 { return float64(d.Busy) / float64(max(d.Slots, 1)) }
 
 // Plan is what a zone sends away of one service.
 type Plan struct {
@@ -133,7 +133,7 @@
 	}
 	excess := Service{Slots: p.Slots, Demand: p.Demand}.excess()
 	if !p.Known || excess == 0 || offers == 0 {
-		p.Share, p.falling = 0, true // an excess below the reversal is not sent away
+		p.Share, p.falling = 0, true // a new excess below reversal is not sent away
 		return
 	}
 	p.approach(min(excess, float64(offers))/float64(p.Demand), float64(offers)/float64(p.Demand))
--- a/coordination/crosszone/summarizer.go
+++ b/coordination/crosszone/summarizer.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 )
 
@@ -9,6 +10,8 @@
 	// smoothing is the weight of a round in the averages of requests. Counts of one
 	// moment vary by a tenth and more without any change of demand.
 	smoothing = 0.2
+	// minBusy is the average of requests below which a zone is removed.
+	minBusy = 0.01
 	// reservedRequest is added to each zone's excess when spare capacity is divided,
 	// so that a zone whose excess begins can send a little at once: an offer that
 	// follows its excess arrives a second later.
@@ -40,49 +43,58 @@
 // Update adds the loads of a round. The slots count at once: capacity that is lost
 // must not be offered.
 func (s *Summarizer) Update(loads []Load) {
-	latest := map[ServiceID]map[string]float64{}
-	for _, l := range s.services {
-		l.slots = 0
+	latest := groupByService(loads)
+	for id, l := range latest {
+		if s.services[id] == nil {
+			s.services[id] = &serviceLoad{busy: maps.Clone(l.busy)}
+		}
 	}
+	for id, l := range s.services {
+		l.update(latest[id])
+		if l.slots == 0 && len(l.busy) == 0 {
+			delete(s.services, id)
+		}
+	}
+}
+
+// groupByService returns the loads of a round by service.
+func groupByService(loads []Load) map[ServiceID]serviceLoad {
+	services := map[ServiceID]serviceLoad{}
 	for _, l := range loads {
 		id := ID(l.Service)
-		known := s.services[id]
-		if known == nil {
-			known = &serviceLoad{busy: map[string]float64{}}
-			s.services[id] = known
-			for _, first := range loads {
-				if first.Service == l.Service {
-					known.busy[first.Zone] = float64(first.Busy)
-				}
-			}
-		}
-		known.slots += l.Slots
-		if latest[id] == nil {
-			latest[id] = map[string]float64{}
-		}
-		latest[id][l.Zone] = float64(l.Busy)
-		if _, ok := known.busy[l.Zone]; !ok {
-			known.busy[l.Zone] = 0
+		service, known := services[id]
+		if !known {
+			service.busy = map[string]float64{}
 		}
+		service.slots += l.Slots
+		service.busy[l.Zone] = float64(l.Busy)
+		services[id] = service
 	}
-	for id, l := range s.services {
-		for zone, busy := range l.busy {
-			l.busy[zone] = busy + smoothing*(latest[id][zone]-busy)
-			if l.busy[zone] < 0.01 {
-				delete(l.busy, zone)
-			}
+	return services
+}
+
+// update takes over the slots of a round and averages its requests.
+func (l *serviceLoad) update(latest serviceLoad) {
+	l.slots = latest.slots
+	for zone := range latest.busy {
+		if _, known := l.busy[zone]; !known {
+			l.busy[zone] = 0
 		}
-		if l.slots == 0 && len(l.busy) == 0 {
-			delete(s.services, id)
+	}
+	for zone, busy := range l.busy {
+		l.busy[zone] = busy + smoothing*(latest.busy[zone]-busy)
+		if l.busy[zone] < minBusy {
+			delete(l.busy, zone)
 		}
 	}
 }
 
 // Own returns the zone's own summary for its hosts, with all its spare capacity as
-// the offer. others are the valid summaries of other zones.
+// the offer. others are the valid summaries of all zones.
 func (s *Summarizer) Own(others []Zone) []Service { return s.summary("", others) }
 
-// For returns the summary for another zone.
+// For returns the summary for another zone. others are the valid summaries of all
+// zones.
 func (s *Summarizer) For(zone string, others []Zone) []Service { return s.summary(zone, others) }
 
 // summary lists the services with traffic in this zone or in any other one.
--- a/coordination/overload/callers.go
+++ b/coordination/overload/callers.go
@@ -7,7 +7,7 @@
 	// and priority.
 	maxCallers = 512
 	// fairMargin is how far a caller may exceed the mean of all callers, as a factor,
-	// and fairAllowance the openings that any caller may have beside.
+	// and fairAllowance the openings that any caller may have in addition.
 	fairMargin    = 1.25
 	fairAllowance = 1.0
 )
@@ -16,12 +16,12 @@
 type Caller [16]byte
 
 // callerCounts counts the admitted openings of callers in the last second: those of
-// the current second and a falling part of those of the second before. With more
+// the current second and a decreasing part of those of the previous one. With more
 // callers than maxCallers those with the fewest openings are forgotten first (Misra
 // and Gries, "Finding repeated elements", 1982). The zero value is empty.
 type callerCounts struct {
-	current, former           map[Caller]int
-	currentTotal, formerTotal int
+	current, previous           map[Caller]int
+	currentTotal, previousTotal int
 	// since is when the current second began.
 	since time.Duration
 }
@@ -37,7 +37,7 @@
 	c.current[caller]++
 }
 
-// decrement lowers all counts by one and forgets callers without any left.
+// decrement lowers all counts by one and removes callers without any left.
 func (c *callerCounts) decrement() {
 	c.currentTotal -= len(c.current)
 	for caller := range c.current {
@@ -52,29 +52,29 @@
 func (c *callerCounts) rotate(now time.Duration) {
 	switch elapsed := now - c.since; {
 	case c.current == nil || elapsed >= 2*windowLength:
-		c.current, c.former = map[Caller]int{}, map[Caller]int{}
-		c.currentTotal, c.formerTotal, c.since = 0, 0, now
+		c.current, c.previous = map[Caller]int{}, map[Caller]int{}
+		c.currentTotal, c.previousTotal, c.since = 0, 0, now
 	case elapsed >= windowLength:
-		c.current, c.former = c.former, c.current
+		c.current, c.previous = c.previous, c.current
 		clear(c.current)
-		c.formerTotal, c.currentTotal = c.currentTotal, 0
+		c.previousTotal, c.currentTotal = c.currentTotal, 0
 		c.since += windowLength
 	}
 }
 
-// over reports whether a caller had more than its fair share.
-func (c *callerCounts) over(now time.Duration, caller Caller) bool {
+// exceedsFairShare reports whether a caller had more than its fair share.
+func (c *callerCounts) exceedsFairShare(now time.Duration, caller Caller) bool {
 	c.rotate(now)
-	rest := 1 - float64(now-c.since)/float64(windowLength)
+	previousWeight := 1 - float64(now-c.since)/float64(windowLength)
 	mean := 0.0
 	if n := len(c.current); n > 0 {
 		mean = float64(c.currentTotal) / float64(n)
 	}
-	if n := len(c.former); n > 0 {
-		// Early in a second few callers were counted in it; the former second tells
+	if n := len(c.previous); n > 0 {
+		// Early in a second few callers were counted in it; the previous second tells
 		// more about the mean.
-		mean = max(mean, float64(c.formerTotal)/float64(n))
+		mean = max(mean, float64(c.previousTotal)/float64(n))
 	}
-	count := float64(c.current[caller]) + rest*float64(c.former[caller])
+	count := float64(c.current[caller]) + previousWeight*float64(c.previous[caller])
 	return count > fairMargin*mean+fairAllowance
 }
--- a/coordination/overload/overload.go
+++ b/coordination/overload/overload.go
@@ -19,8 +19,8 @@
 	minQueue, maxQueue = 2.0, 4.0
 	queueStepDown      = 0.06
 	queueStepUp        = queueStepDown / 19
-	// freeSlot is the limit of openings that are placed only at free slots.
-	freeSlot = 1.0
+	// freeSlotLimit is the limit of openings that are placed only at free slots.
+	freeSlotLimit = 1.0
 	// repeatedLimit is the limit of retransmitted openings while the service time
 	// is unknown.
 	repeatedLimit = 1.0
@@ -32,16 +32,16 @@
 	// is reserved, as a small reservation protects the higher class already (Key, "Optimal
 	// Control and Trunk Reservation in Loss Networks", 1990).
 	reserveGain = 4.0
-	// threatGain is the part of the reserve that applies for each unit of the share that
-	// openings of the same priority have: a class with few openings does not harm the
-	// higher ones.
-	threatGain = 1.5
+	// samePriorityGain is the part of the reserve that applies for each unit of the
+	// share that openings of the same priority have: a class with few openings does not
+	// harm the higher ones.
+	samePriorityGain = 1.5
 	// fairReserve is the part of the queue that callers over their fair share leave
 	// to the others.
 	fairReserve = 1.0
-	// refusedWait is the number of service times that have to fit into what is left of
-	// the objective at the next copy for an opening to be dropped until then.
-	refusedWait = 8
+	// minRetryServiceTimes is the number of service times that have to be left of the
+	// objective at the next copy for an opening to be dropped until then.
+	minRetryServiceTimes = 8
 	// retryShare is the largest share of repeated openings among those admitted
 	// while first openings are turned away.
 	retryShare = 0.2
@@ -49,18 +49,20 @@
 	// always allows, as a share of a few openings is none.
 	minRepeated = 1
 	// crowdedLoad is the number of requests per slot from which requests may queue
-	// unnoticed. shortLoad is the smoothed number from which capacity is short, and
-	// burstLoad the momentary one. ownBurst is the number of this host's requests, smoothed,
-	// in multiples of its share of the slots: it shows a burst before the others report it.
-	// At 0.6 of the capacity the smoothed number exceeded
-	// 1.5 in 30% of the time and 1.8 in 0.4%, as old reports lead to queues.
+	// unnoticed.
 	crowdedLoad = 0.9
-	shortLoad   = 1.8
-	burstLoad   = 3
+	// shortLoad is the smoothed number of requests per slot from which capacity is
+	// short, and burstLoad the momentary one. They are above 1, as placement by old
+	// reports leads to queues also where capacity suffices.
+	shortLoad = 1.8
+	burstLoad = 3
+	// ownBurst is the smoothed number of this host's requests, in multiples of its share
+	// of the slots, from which capacity is short. It shows a burst before other hosts
+	// report it.
+	ownBurst = 2.3
 	// loadSmoothing and ownSmoothing are the time constants of the smoothed loads.
 	loadSmoothing = 500 * time.Millisecond
 	ownSmoothing  = 100 * time.Millisecond
-	ownBurst      = 2.3
 )
 
 // Callers retransmit an unanswered opening at these times after the first one.
@@ -97,7 +99,7 @@
 
 // Times are what is known about a route. 0 means unknown.
 type Times struct {
-	// Service is the time of service of a request that finds a free slot.
+	// Service is the service time of a request that finds a free slot.
 	Service time.Duration
 	// RoundTrip is the network delay from this host to the caller and back.
 	RoundTrip time.Duration
@@ -141,71 +143,74 @@
 
 // Service is what a host knows about the demand for one service.
 type Service struct {
+	// seen and admitted count openings by priority, repeated the admitted openings
+	// that are retransmissions.
 	seen     [NumPriorities]window
 	admitted [NumPriorities]window
 	repeated window
-	// turnedAway counts the first openings that were turned away, full those of them
-	// that gave way to no others.
-	turnedAway, full window
-	callers          [NumPriorities]callerCounts
-	// queue is the adapted largest queue less initialQueue.
-	queue     float64
-	load, own float64
-	loadAt    time.Duration
-	// current is the last momentary load.
-	current float64
+	// turnedAway counts the first openings that were turned away, queueFull those of
+	// them that found all queues full, without a lower limit in favour of others.
+	turnedAway, queueFull window
+	callers               [NumPriorities]callerCounts
+	// queueAdjustment is what the adapted largest queue exceeds initialQueue by.
+	queueAdjustment float64
+	// currentLoad is the number of requests of all hosts per slot at loadAt. load is
+	// the same smoothed, own this host's smoothed requests in multiples of its share of
+	// the slots.
+	currentLoad, load, own float64
+	loadAt                 time.Duration
 }
 
 // SetLoad records the requests of all hosts per slot of the service's targets, and those
 // of this host in multiples of its share of the slots.
 func (s *Service) SetLoad(now time.Duration, perSlot, own float64) {
 	elapsed := now - s.loadAt
-	s.load += smoothing(elapsed, loadSmoothing) * (perSlot - s.load)
-	s.own += smoothing(elapsed, ownSmoothing) * (own - s.own)
-	s.loadAt, s.current = now, perSlot
+	s.load += smoothingWeight(elapsed, loadSmoothing) * (perSlot - s.load)
+	s.own += smoothingWeight(elapsed, ownSmoothing) * (own - s.own)
+	s.loadAt, s.currentLoad = now, perSlot
 }
 
-// smoothing returns the weight of a new value after some time.
-func smoothing(elapsed, constant time.Duration) float64 {
+// smoothingWeight returns the weight of a new value, by the time since the former one.
+func smoothingWeight(elapsed, constant time.Duration) float64 {
 	return float64(min(elapsed, constant)) / float64(constant)
 }
 
 // Short reports whether the service has too little capacity: first openings were
 // turned away in the last second, or nearly all slots are in use.
 func (s *Service) Short(now time.Duration) bool {
-	return s.full.sum(now) > 0 || s.load >= shortLoad || s.current >= burstLoad || s.own >= ownBurst
+	return s.queueFull.sum(now) > 0 || s.load >= shortLoad || s.currentLoad >= burstLoad || s.own >= ownBurst
 }
 
 // Decide returns the limit of an opening and counts it as seen.
 func (s *Service) Decide(now time.Duration, o *Opening, t Times) Decision {
 	s.seen[Class(o.Priority)].add(now)
 	d := s.InTime(o, t)
-	d.AtOnce = tooLateNextTime(o, t)
+	d.AtOnce = lateAtNextCopy(o, t)
 	if d.Limit == 0 || !s.Short(now) {
 		return d
 	}
 	if o.Copy > 0 && s.overRetryBudget(now) {
 		return Decision{Reason: ReasonRetryBudget}
 	}
-	if d.Limit <= freeSlot {
+	if d.Limit <= freeSlotLimit {
 		return d
 	}
 	if reserve := s.reserve(now, o.Priority); reserve > 0 {
-		d.Limit, d.Reason = max(freeSlot, min(d.Limit, s.maxQueue()-reserve)), ReasonPriority
+		d.Limit, d.Reason = max(freeSlotLimit, min(d.Limit, s.maxQueue()-reserve)), ReasonPriority
 	}
 	if s.overFairShare(now, o) {
-		d.Limit, d.Reason = max(freeSlot, d.Limit-fairReserve), ReasonFairShare
+		d.Limit, d.Reason = max(freeSlotLimit, d.Limit-fairReserve), ReasonFairShare
 	}
 	return d
 }
 
-// tooLateNextTime reports whether the opening's next copy could hardly be in time.
+// lateAtNextCopy reports whether the opening's next copy could hardly be in time.
 // Where it is refused at once, the caller's next attempt reaches another host within
 // milliseconds. An attempt after a drop and a refusal begins at 600 ms, which is late,
 // and no host can tell it from a first one.
-func tooLateNextTime(o *Opening, t Times) bool {
+func lateAtNextCopy(o *Opening, t Times) bool {
 	left := o.Objective - firstRetransmission - t.RoundTrip
-	return o.Copy == 0 && o.Objective > 0 && t.Service > 0 && left < refusedWait*t.Service
+	return o.Copy == 0 && o.Objective > 0 && t.Service > 0 && left < minRetryServiceTimes*t.Service
 }
 
 // InTime returns the limit up to which an opening is served within its objective, without
@@ -228,10 +233,10 @@
 	}
 	left := o.Objective - elapsed - t.RoundTrip
 	if left < t.Service {
-		return Decision{Limit: freeSlot, Reason: ReasonLate}
+		return Decision{Limit: freeSlotLimit, Reason: ReasonLate}
 	}
 	expected := max(t.Margin, 1) * float64(t.Service)
-	return Decision{Limit: max(freeSlot, min(s.maxQueue(), float64(left)/expected-1))}
+	return Decision{Limit: max(freeSlotLimit, min(s.maxQueue(), float64(left)/expected-1))}
 }
 
 // unknownLimit returns the limit of an opening whose objective or service time is
@@ -241,7 +246,7 @@
 	case o.Copy == 0:
 		return Decision{Limit: s.maxQueue()}
 	case o.Objective > 0 && Elapsed(o.Copy)+t.RoundTrip >= o.Objective:
-		return Decision{Limit: freeSlot, Reason: ReasonLate}
+		return Decision{Limit: freeSlotLimit, Reason: ReasonLate}
 	case o.Copy < lastCopy:
 		return Decision{Limit: repeatedLimit}
 	}
@@ -263,7 +268,7 @@
 		return 0
 	}
 	same := s.seen[Class(priority)].sum(now)
-	return maxReserve * min(1, reserveGain*float64(higher)/float64(all)) * min(1, threatGain*float64(same)/float64(all))
+	return maxReserve * min(1, reserveGain*float64(higher)/float64(all)) * min(1, samePriorityGain*float64(same)/float64(all))
 }
 
 // overRetryBudget reports whether one more repeated opening would exceed the retry
@@ -283,7 +288,7 @@
 // overFairShare reports whether the caller had more than its fair share of the
 // openings of its priority that were admitted in the last second.
 func (s *Service) overFairShare(now time.Duration, o *Opening) bool {
-	return s.callers[Class(o.Priority)].over(now, o.Caller)
+	return s.callers[Class(o.Priority)].exceedsFairShare(now, o.Caller)
 }
 
 // Admitted records that an opening was placed.
@@ -302,23 +307,24 @@
 	}
 	s.turnedAway.add(now)
 	if d.Reason == ReasonQueue {
-		s.full.add(now)
+		s.queueFull.add(now)
 	}
 }
 
 // Answered records the answer to a request that found no free slot, as far as the host
-// knows; rejected is set if it came too soon to be one, as the target's queue was full.
+// knows. rejected is set if the answer came too soon for a request that was served: the
+// target has rejected it, as its queue was full.
 func (s *Service) Answered(rejected bool) {
 	step := queueStepUp
 	if rejected {
 		step = -queueStepDown
 	}
-	s.queue = min(max(s.queue+step, minQueue-initialQueue), maxQueue-initialQueue)
+	s.queueAdjustment = min(max(s.queueAdjustment+step, minQueue-initialQueue), maxQueue-initialQueue)
 }
 
 // maxQueue returns the largest number of requests at a target, in multiples of its
 // slots, at which an opening is still placed there.
-func (s *Service) maxQueue() float64 { return initialQueue + s.queue }
+func (s *Service) maxQueue() float64 { return initialQueue + s.queueAdjustment }
 
 // Crowded reports whether requests queue at most targets.
-func (s *Service) Crowded() bool { return s.current >= crowdedLoad || s.load >= crowdedLoad }
+func (s *Service) Crowded() bool { return s.currentLoad >= crowdedLoad || s.load >= crowdedLoad }
--- a/coordination/overload/overload_test.go
+++ b/coordination/overload/overload_test.go
@@ -32,18 +32,18 @@
 		"plenty of time":              {Opening{Objective: 1200 * ms}, times, initialQueue, ReasonQueue},
 		"part of the queue":           {Opening{Objective: 231 * ms}, times, 2, ReasonQueue},
 		"second copy":                 {Opening{Objective: 431 * ms, Copy: 1}, times, 2, ReasonQueue},
-		"free slot only":              {Opening{Objective: 60 * ms}, times, freeSlot, ReasonQueue},
-		"late second copy":            {Opening{Objective: 250 * ms, Copy: 1}, times, freeSlot, ReasonLate},
-		"late last copy":              {Opening{Objective: 600 * ms, Copy: 2}, times, freeSlot, ReasonLate},
+		"free slot only":              {Opening{Objective: 60 * ms}, times, freeSlotLimit, ReasonQueue},
+		"late second copy":            {Opening{Objective: 250 * ms, Copy: 1}, times, freeSlotLimit, ReasonLate},
+		"late last copy":              {Opening{Objective: 600 * ms, Copy: 2}, times, freeSlotLimit, ReasonLate},
 		"last copy in time":           {Opening{Objective: 1200 * ms, Copy: 2}, times, initialQueue, ReasonQueue},
 		"past the timeout":            {Opening{Objective: 250 * ms, Timeout: 640 * ms, Copy: 2}, times, 0, ReasonPastTimeout},
 		"no objective":                {Opening{}, times, initialQueue, ReasonQueue},
 		"no objective, second copy":   {Opening{Copy: 1}, times, repeatedLimit, ReasonQueue},
 		"unknown time":                {Opening{Objective: 250 * ms}, Times{}, initialQueue, ReasonQueue},
 		"unknown time, last copy":     {Opening{Objective: 800 * ms, Copy: 2}, Times{}, initialQueue, ReasonQueue},
-		"unknown time, but late":      {Opening{Objective: 250 * ms, Copy: 2}, Times{}, freeSlot, ReasonLate},
+		"unknown time, but late":      {Opening{Objective: 250 * ms, Copy: 2}, Times{}, freeSlotLimit, ReasonLate},
 		"unknown time, past timeout":  {Opening{Timeout: 500 * ms, Copy: 2}, Times{}, 0, ReasonPastTimeout},
-		"objective under the service": {Opening{Objective: 40 * ms}, times, freeSlot, ReasonLate},
+		"objective under the service": {Opening{Objective: 40 * ms}, times, freeSlotLimit, ReasonLate},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -78,7 +78,7 @@
 	is.Equal(some.Reason, ReasonPriority)
 	is.Equal(some.InTime, initialQueue)
 	most := limit(now+6*time.Second, 30, 70)
-	is.Equal(most.Limit, freeSlot) // never less: no slot is left idle
+	is.Equal(most.Limit, freeSlotLimit) // never less: no slot is left idle
 	few := limit(now+9*time.Second, 97, 3)
 	is.True(few.Limit > 2.8) // a few openings of a low priority do no harm
 	is.Equal(limit(now+12*time.Second, 0, 1).Limit, initialQueue)
@@ -148,8 +148,8 @@
 		c.add(now, caller(1))
 		is.True(len(c.current) <= maxCallers)
 	}
-	is.True(c.over(now, caller(1)))
-	is.True(!c.over(now, caller(2)))
+	is.True(c.exceedsFairShare(now, caller(1)))
+	is.True(!c.exceedsFairShare(now, caller(2)))
 }
 
 // Guards against callers that gain by retrying: repeated openings must not displace
@@ -196,6 +196,7 @@
 	is.True(limit() > minQueue)
 }
 
+// Guards against counts that include events of before the last second.
 func TestWindow(t *testing.T) {
 	is := is.New(t)
 	var w window
--- a/coordination/steering/admissionreplay_test.go
+++ b/coordination/steering/admissionreplay_test.go
@@ -103,9 +103,9 @@
 	return z
 }
 
-// offer lets requests of a class arrive between two times at a share of the slots of
+// addRequests lets requests of a class arrive between two times at a share of the slots of
 // the class's service.
-func (z *loadReplay) offer(c *loadClass, from, to time.Duration, share float64) {
+func (z *loadReplay) addRequests(c *loadClass, from, to time.Duration, share float64) {
 	mean := float64(zoneWork) / float64(z.slots[c.service]) / share
 	for at := from; at < to; at += time.Duration(z.rng.ExpFloat64() * mean) {
 		z.at(at, func() {
@@ -152,11 +152,11 @@
 	c := z.hosts[host].caller(address, r.class.to)
 	c.p.Flow.Caller[10] = byte(address >> 16)
 	c.p.Flow.CallerPort = uint16(1 + z.flows)
-	z.offerOpening(r, c, host, z.now, 0)
+	z.sendOpening(r, c, host, z.now, 0)
 }
 
-// offerOpening sends one copy of an opening.
-func (z *loadReplay) offerOpening(r *loadRequest, c *caller, host int, started time.Duration, copies uint32) {
+// sendOpening sends one copy of an opening.
+func (z *loadReplay) sendOpening(r *loadRequest, c *caller, host int, started time.Duration, copies uint32) {
 	a := Action{Kind: Drop}
 	if !z.down {
 		c.w.now = z.now
@@ -167,21 +167,21 @@
 		key := a.Key
 		z.at(z.now+callerRoundTrip, func() { z.deliver(r, c, host, key) })
 	case Reset:
-		z.again(r)
+		z.retryRequest(r)
 	case Drop:
 		switch copies {
 		case 0:
-			z.at(started+200*time.Millisecond, func() { z.offerOpening(r, c, host, started, 1) })
+			z.at(started+200*time.Millisecond, func() { z.sendOpening(r, c, host, started, 1) })
 		case 1:
-			z.at(started+600*time.Millisecond, func() { z.offerOpening(r, c, host, started, 2) })
+			z.at(started+600*time.Millisecond, func() { z.sendOpening(r, c, host, started, 2) })
 		default:
-			z.at(started+attemptTimeout, func() { z.again(r) })
+			z.at(started+attemptTimeout, func() { z.retryRequest(r) })
 		}
 	}
 }
 
-// again starts the request's next attempt, from a new port.
-func (z *loadReplay) again(r *loadRequest) {
+// retryRequest starts the request's next attempt, from a new port.
+func (z *loadReplay) retryRequest(r *loadRequest) {
 	if r.attempts <= callerRetries {
 		z.at(z.now+10*time.Millisecond, func() { z.attempt(r) })
 	}
@@ -214,7 +214,7 @@
 	switch {
 	case z.rejects != nil && z.rejects(key):
 		z.rejected++
-		z.answer(c, host, func() { z.again(r) })
+		z.answer(c, host, func() { z.retryRequest(r) })
 	case s.busy < s.slots:
 		s.busy++
 		work()
@@ -222,7 +222,7 @@
 		s.waiting = append(s.waiting, work)
 	default:
 		z.rejected++
-		z.answer(c, host, func() { z.again(r) })
+		z.answer(c, host, func() { z.retryRequest(r) })
 	}
 }
 
@@ -289,25 +289,25 @@
 )
 
 func ordinaryLoad(z *loadReplay) {
-	z.offer(ordersClass, steadyFrom, loadEnd, 0.3)
-	z.offer(feedsClass, steadyFrom, loadEnd, 0.3)
+	z.addRequests(ordersClass, steadyFrom, loadEnd, 0.3)
+	z.addRequests(feedsClass, steadyFrom, loadEnd, 0.3)
 }
 
 func allHostsBack(z *loadReplay) {
-	z.offer(ordersClass, steadyFrom, loadEnd, 0.35)
-	z.offer(feedsClass, steadyFrom, loadEnd, 0.35)
+	z.addRequests(ordersClass, steadyFrom, loadEnd, 0.35)
+	z.addRequests(feedsClass, steadyFrom, loadEnd, 0.35)
 	z.outage(burstFrom, burstFrom+1500*time.Millisecond)
 }
 
 func oneCallerBurst(z *loadReplay) {
-	z.offer(lightClass, steadyFrom, loadEnd, 0.6)
-	z.offer(heavyClass, burstFrom, burstTo, 0.6*1.5)
+	z.addRequests(lightClass, steadyFrom, loadEnd, 0.6)
+	z.addRequests(heavyClass, burstFrom, burstTo, 0.6*1.5)
 }
 
 func higherPriorityBurst(z *loadReplay) {
-	z.offer(ordersClass, steadyFrom, loadEnd, 0.4)
-	z.offer(feedsClass, steadyFrom, loadEnd, 0.4)
-	z.offer(ordersClass, burstFrom, burstTo, 0.4*0.8)
+	z.addRequests(ordersClass, steadyFrom, loadEnd, 0.4)
+	z.addRequests(feedsClass, steadyFrom, loadEnd, 0.4)
+	z.addRequests(ordersClass, burstFrom, burstTo, 0.4*0.8)
 }
 
 var patterns = []pattern{
@@ -320,34 +320,34 @@
 	{"burst 1.8 of the higher priority, small zone", []*loadClass{ordersClass, feedsClass}, burstFrom, burstTo, higherPriorityBurst, nil, false, smallZone},
 	{"burst 1.8 of the higher priority, single host", []*loadClass{ordersClass, feedsClass}, burstFrom, burstTo, higherPriorityBurst, nil, false, singleHost},
 	{"burst 2.5 of downloads, other service", []*loadClass{ordersClass, feedsClass, otherDownload}, burstFrom, burstTo, func(z *loadReplay) {
-		z.offer(ordersClass, steadyFrom, loadEnd, 0.3)
-		z.offer(feedsClass, steadyFrom, loadEnd, 0.3)
-		z.offer(otherDownload, steadyFrom, loadEnd, 0.6)
-		z.offer(otherDownload, burstFrom, burstTo, 0.6*1.5)
+		z.addRequests(ordersClass, steadyFrom, loadEnd, 0.3)
+		z.addRequests(feedsClass, steadyFrom, loadEnd, 0.3)
+		z.addRequests(otherDownload, steadyFrom, loadEnd, 0.6)
+		z.addRequests(otherDownload, burstFrom, burstTo, 0.6*1.5)
 	}, []*loadClass{ordersClass, feedsClass}, false, largeZone},
 	{"burst 2.5 of downloads, same service", []*loadClass{ordersClass, feedsClass, downloadClass}, burstFrom, burstTo, func(z *loadReplay) {
-		z.offer(ordersClass, steadyFrom, loadEnd, 0.2)
-		z.offer(feedsClass, steadyFrom, loadEnd, 0.15)
-		z.offer(downloadClass, steadyFrom, loadEnd, 0.3)
-		z.offer(downloadClass, burstFrom, burstTo, 0.3*1.5)
+		z.addRequests(ordersClass, steadyFrom, loadEnd, 0.2)
+		z.addRequests(feedsClass, steadyFrom, loadEnd, 0.15)
+		z.addRequests(downloadClass, steadyFrom, loadEnd, 0.3)
+		z.addRequests(downloadClass, burstFrom, burstTo, 0.3*1.5)
 	}, []*loadClass{ordersClass, feedsClass}, false, largeZone},
 	{"zone lost at 0.75", []*loadClass{ordersClass, feedsClass}, burstFrom, burstTo, func(z *loadReplay) {
 		// The zone takes over half of the callers of another zone of its size.
-		z.offer(ordersClass, steadyFrom, loadEnd, 0.375)
-		z.offer(feedsClass, steadyFrom, loadEnd, 0.375)
-		z.offer(ordersClass, burstFrom, burstTo, 0.375/2)
-		z.offer(feedsClass, burstFrom, burstTo, 0.375/2)
+		z.addRequests(ordersClass, steadyFrom, loadEnd, 0.375)
+		z.addRequests(feedsClass, steadyFrom, loadEnd, 0.375)
+		z.addRequests(ordersClass, burstFrom, burstTo, 0.375/2)
+		z.addRequests(feedsClass, burstFrom, burstTo, 0.375/2)
 	}, nil, false, largeZone},
 	{"half of the requests rejected by a quarter of targets", []*loadClass{ordersClass, feedsClass}, burstFrom, burstTo, func(z *loadReplay) {
-		z.offer(ordersClass, steadyFrom, loadEnd, 0.35)
-		z.offer(feedsClass, steadyFrom, loadEnd, 0.35)
+		z.addRequests(ordersClass, steadyFrom, loadEnd, 0.35)
+		z.addRequests(feedsClass, steadyFrom, loadEnd, 0.35)
 		z.rejects = func(key fleet.TargetKey) bool {
 			return z.now >= burstFrom && z.now < burstTo && key[len(key)-1]%4 == 0 && z.rng.IntN(2) == 0
 		}
 	}, nil, false, largeZone},
 	{"one caller with 100 flows", []*loadClass{lightClass, heavyClass}, burstFrom, burstTo, func(z *loadReplay) {
-		z.offer(lightClass, steadyFrom, loadEnd, 0.6)
-		z.offer(heavyClass, burstFrom, burstTo, 0.6)
+		z.addRequests(lightClass, steadyFrom, loadEnd, 0.6)
+		z.addRequests(heavyClass, burstFrom, burstTo, 0.6)
 	}, []*loadClass{lightClass}, false, largeZone},
 	{"burst 2.5 of one caller", []*loadClass{lightClass, heavyClass}, burstFrom, burstTo, oneCallerBurst, []*loadClass{lightClass}, false, largeZone},
 	{"burst 2.5 of one caller, 110 hosts", []*loadClass{lightClass, heavyClass}, burstFrom, burstTo, oneCallerBurst, []*loadClass{lightClass}, false, largestZone},
--- a/coordination/steering/allotted.go
+++ b/coordination/steering/allotted.go
@@ -1,11 +1,9 @@
 package steering
 
 import (
-	"maps"
 	"math"
 	"time"
 
-	"github.com/jujubehaven/jujubehaven/coordination/allotment"
 	"github.com/jujubehaven/jujubehaven/coordination/fleet"
 )
 
@@ -17,9 +15,8 @@
 //
 // If all its slots are in use, it compares the queues at its own targets with what
 // it has to expect elsewhere. Of another host's target it expects the mean load, as
-// a reported load says nothing any more once it is older than a request takes. Used
-// to choose between two targets, such reports raise the p99 of the wait in the
-// replays at 0.75 from 107 to 113 ms, as hosts agree on the wrong one.
+// a reported load says nothing any more once it is older than a request takes: all
+// hosts would choose the same target by it.
 
 const (
 	// reportAge is the age of the loads that the hosts of a large zone know of each
@@ -27,8 +24,7 @@
 	reportAge = 400 * time.Millisecond
 	// borrowMargin is how much more load, in multiples of its slots, a target of
 	// this host may have than a borrowed one is expected to have: the host knows its
-	// own queue, and its holder may use the borrowed slot at the same time. From 0.1
-	// to 0.5 the waits in the replays differ by less than their seeds do.
+	// own queue, and its holder may use the borrowed slot at the same time.
 	borrowMargin = 0.25
 	// unusableCost is the cost from which a target is silent, avoided, missing or
 	// unreachable, so that a slot of it is worth nothing. The queue limit keeps the
@@ -121,16 +117,16 @@
 	return float64(t.open) < limit*t.heldPart()
 }
 
-// samples reports whether a target may be borrowed. If no target is expected to have
-// a free slot, all may be, as the one with the lowest reported load would get the
-// openings of all hosts.
-func (c *allottedChoice) samples(t *target, cost float64) bool {
+// mayBorrow reports whether a slot of a target may be borrowed. If no target is expected
+// to have a free slot, all may be, as the one with the lowest reported load would get
+// the openings of all hosts.
+func (c *allottedChoice) mayBorrow(t *target, cost float64) bool {
 	return c.inForce && t.held == 0 && t.entry.Zone == c.zone && cost < unusableCost
 }
 
-// leavesZone reports whether the cheapest of all targets is in another zone and
+// prefersOtherZone reports whether the cheapest of all targets is in another zone and
 // cheaper than the cheapest of the sample.
-func (c *allottedChoice) leavesZone(cheapest *target, cost, sampleCost float64) bool {
+func (c *allottedChoice) prefersOtherZone(cheapest *target, cost, sampleCost float64) bool {
 	return c.inForce && cheapest.entry.Zone != c.zone && cost < sampleCost
 }
 
@@ -167,62 +163,11 @@
 	}
 }
 
-// coldShare returns the openings per second that this host may send to a cold target
+// coldRate returns the openings per second that this host may send to a cold target
 // of its zone: by the slots that it holds, or an equal share without a valid table.
-func (s *Steering) coldShare(now time.Duration, t *target, limits fleet.ServiceLimits) float64 {
+func (s *Steering) coldRate(now time.Duration, t *target, limits fleet.ServiceLimits) float64 {
 	if !s.allotted(now) {
 		return coldRateShare(limits, s.peerLoads)
 	}
 	return limits.ColdOpenings * t.heldPart()
 }
-
-// AllotmentStats is this host's part in the allotment of slots.
-type AllotmentStats struct {
-	// InForce is set while the host has a valid share, which arrived Age ago.
-	InForce bool
-	Age     time.Duration
-	// Held counts the slots that the host holds and Borrowed the openings that used
-	// slots of other hosts, by service.
-	Held     map[string]int
-	Borrowed map[string]uint64
-	// Targets are the targets of the host's zone, for the allotter.
-	Targets []allotment.Target
-}
-
-// AllotmentStats returns the state of the allotment, the zero value if the host does
-// not use allotments.
-func (s *Steering) AllotmentStats(now time.Duration) AllotmentStats {
-	if !s.cfg.Balancing.Allotments {
-		return AllotmentStats{}
-	}
-	a := AllotmentStats{InForce: s.allotted(now), Held: map[string]int{}, Borrowed: maps.Clone(s.borrowed)}
-	if a.InForce {
-		a.Age = s.peerLoads.Share.Age(now)
-	}
-	for _, t := range s.targets {
-		if t.entry.Zone != s.cfg.Zone || t.entry.Gone {
-			continue
-		}
-		if a.InForce && t.held > 0 {
-			a.Held[t.entry.Service] += t.held
-		}
-		a.Targets = append(a.Targets, allotment.Target{
-			Token: uint32(t.token), Service: t.entry.Service, Slots: max(t.entry.Slots, 1), State: t.allotmentState(now),
-		})
-	}
-	return a
-}
-
-// allotmentState returns the target's state as this host and the reports of others
-// show it.
-func (t *target) allotmentState(now time.Duration) allotment.State {
-	switch {
-	case !t.eligible(), t.entry.Missing, t.health.silent, t.peersUnanswered >= minSilentFlows:
-		return allotment.Closed
-	case t.cold(now):
-		return allotment.Cold
-	case t.fastShare(now) > fastShareThreshold:
-		return allotment.Rejecting
-	}
-	return allotment.Accepting
-}
--- a/coordination/steering/cold.go
+++ b/coordination/steering/cold.go
@@ -40,7 +40,7 @@
 	if limits.ColdOpenings <= 0 || !t.cold(now) {
 		return true
 	}
-	return t.entry.Zone == s.cfg.Zone && now >= t.nextColdOpening && s.coldShare(now, t, limits) > 0
+	return t.entry.Zone == s.cfg.Zone && now >= t.nextColdOpening && s.coldRate(now, t, limits) > 0
 }
 
 // countColdOpening accounts for an opening that is sent to a cold target.
@@ -48,7 +48,7 @@
 	if limits.ColdOpenings <= 0 || !t.cold(now) {
 		return
 	}
-	interval := time.Duration(float64(time.Second) / s.coldShare(now, t, limits))
+	interval := time.Duration(float64(time.Second) / s.coldRate(now, t, limits))
 	t.nextColdOpening = max(now, t.nextColdOpening) + interval
 }
 
--- a/coordination/steering/cost.go
+++ b/coordination/steering/cost.go
@@ -1,10 +1,6 @@
 package steering
 
-import (
-	"time"
-
-	"github.com/jujubehaven/jujubehaven/coordination/rendezvous"
-)
+import "time"
 
 const (
 	// openFlowLoad is the load of an open flow without a request, in slots: the
@@ -24,8 +20,8 @@
 	// missingPenalty ranks targets without a usable entry in the store behind
 	// those with one.
 	missingPenalty = 100
-	// tieBreakSpread orders targets of equal load by the flow's hash.
-	tieBreakSpread = 1e-3
+	// tieBreakWeight orders targets of equal load by the flow's hash.
+	tieBreakWeight = 1e-3
 )
 
 // formerTargetPenalty ranks the target that did not answer the flow's previous
@@ -59,8 +55,7 @@
 	if t.entry.Missing {
 		cost += missingPenalty
 	}
-	spread := float64(rendezvous.Mix(hash, t.entry.Number)>>11) / (1 << 53)
-	return cost + tieBreakSpread*spread
+	return cost + tieBreakWeight*fraction(hash, t.entry.Number)
 }
 
 // load returns the target's load as known to the hosts of this zone, in
--- a/coordination/steering/crosszone.go
+++ b/coordination/steering/crosszone.go
@@ -248,7 +248,7 @@
 // spreadOverflow replaces the target of another zone that has the lowest cost, which
 // is the same at all hosts, by one that depends on the flow's hash. If the zones offer
 // nothing more, as this zone can't even queue, the flow goes to a zone in proportion
-// to the room in the queues. It also returns the zone that takes the flow, nil if the
+// to the requests that its queues can still take. It also returns the zone that takes the flow, nil if the
 // target is not replaced.
 func (s *Steering) spreadOverflow(now time.Duration, pl *pool, p *Segment, best, former *target) (*target, *remoteZone) {
 	if best.remote == nil || now >= best.remote.ValidUntil || former != nil {
@@ -268,26 +268,27 @@
 // overflowZone chooses a zone in proportion to the requests that its targets can
 // still queue; otherwise is returned if there is none.
 func (b *balance) overflowZone(now time.Duration, limit, point float64, otherwise *remoteZone) *remoteZone {
-	room := make([]float64, len(b.zones))
+	queueable := make([]float64, len(b.zones))
 	sum := 0.0
 	for i, r := range b.zones {
 		if now < r.ValidUntil {
-			room[i] = max(limit*float64(r.Slots)-float64(r.Busy+r.sent), 0)
-			sum += room[i]
+			queueable[i] = max(limit*float64(r.Slots)-float64(r.Busy+r.sent), 0)
+			sum += queueable[i]
 		}
 	}
 	point *= sum
 	for i, r := range b.zones {
-		if point < room[i] {
+		if point < queueable[i] {
 			return r
 		}
-		point -= room[i]
+		point -= queueable[i]
 	}
 	return otherwise
 }
 
 // full reports whether the zone takes no flow beyond the share sent away. The rest of
-// its offer is divided among the hosts; a fraction of a flow is a chance by hash.
+// its offer is divided among the hosts; of a fraction of a flow, the
+// hash decides whether it is one.
 func (r *remoteZone) full(hash uint64) bool {
 	return float64(r.placed)+fraction(hash, overflowHashSeed) >= r.allowance
 }
@@ -303,7 +304,7 @@
 	if t.remote == nil || now >= t.remote.ValidUntil {
 		return 0
 	}
-	return t.remote.Load()
+	return t.remote.RequestsPerSlot()
 }
 
 // otherZoneCost is added to the cost of a target of another zone.
--- a/coordination/steering/crosszone_test.go
+++ b/coordination/steering/crosszone_test.go
@@ -112,7 +112,7 @@
 	placed := w.placedBy(900)
 	t.Log(placed)
 	is.Equal(placed["a"], 0)
-	is.True(placed["b"] > placed["c"] && placed["c"] > 200) // by the room in the queues, 50 and 30
+	is.True(placed["b"] > placed["c"] && placed["c"] > 200) // by what the queues can take, 50 and 30
 
 	// All queues are full. A third of those in the other zones is left to this one, whose
 	// flows would get nothing otherwise; once they use it up, they are dropped.
--- a/coordination/steering/explain.go
+++ b/coordination/steering/explain.go
@@ -115,8 +115,8 @@
 	// What gives way to others depends on the openings of the last second, which an
 	// explanation must not count.
 	ad := admission{ownZoneLimit: s.queueLimit(0), otherZoneLimit: s.queueLimit(0)}
-	c := s.choose(now, pl, &Segment{Flow: flow, Class: packet.Opening}, r, nil, &ad)
-	best, cause := c.target, c.cause
+	chosen := s.choose(now, pl, &Segment{Flow: flow, Class: packet.Opening}, r, nil, &ad)
+	best, cause := chosen.target, chosen.cause
 	usable, cheaper := 0, 0
 	for i := range answer.Candidates {
 		c := &answer.Candidates[i]
--- a/coordination/steering/fastanswers.go
+++ b/coordination/steering/fastanswers.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 )
@@ -20,16 +19,11 @@
 // pool's targets are avoided at once.
 
 const (
-	// usualQuantile is the quantile of a route's times of service that answers are
+	// usualQuantile is the quantile of a route's service times that answers are
 	// compared with, and fastAnswerRatio the fraction of it below which an answer
 	// counts as too fast.
 	usualQuantile   = 0.05
 	fastAnswerRatio = 0.3
-	// quantileStep is how far an answer moves an estimated quantile at most, as a
-	// fraction of it. minQuantileSamples is the number of answers before the
-	// estimate is used.
-	quantileStep       = 0.05
-	minQuantileSamples = 10
 	// outlierWeight is the weight of a too fast answer in the estimate: failing
 	// targets must not become the usual case at once.
 	outlierWeight = 0.3
@@ -54,42 +48,6 @@
 	saturation = 0.9
 )
 
-// quantileEstimate estimates a quantile of times. It begins with the quantile of
-// the first samples; each further one moves it up or down, so that it rests where
-// the samples below it have the quantile's share.
-type quantileEstimate struct {
-	value time.Duration
-	// first holds the samples until there are minQuantileSamples.
-	first []time.Duration
-	known bool
-}
-
-// addSample adds a sample with a weight from 0 to 1.
-func (e *quantileEstimate) addSample(took time.Duration, quantile, weight float64) {
-	if !e.known {
-		e.addFirst(took, quantile)
-		return
-	}
-	step := quantileStep * weight * float64(e.value)
-	switch {
-	case took > e.value:
-		e.value += time.Duration(step * quantile)
-	case took < e.value:
-		e.value -= time.Duration(step * (1 - quantile))
-	}
-}
-
-// addFirst adds one of the first samples.
-func (e *quantileEstimate) addFirst(took time.Duration, quantile float64) {
-	e.first = append(e.first, took)
-	if len(e.first) < minQuantileSamples {
-		return
-	}
-	slices.Sort(e.first)
-	e.value = e.first[int(math.Ceil(quantile*minQuantileSamples))]
-	e.first, e.known = nil, true
-}
-
 // answerTimes is what a host has learned of a route's answers.
 type answerTimes struct {
 	// roundTrip is the median time of a handshake, service the usualQuantile of the
@@ -198,8 +156,8 @@
 	}
 }
 
-// judgeSaturation decides whether the pool is saturated.
-func (p *pool) judgeSaturation() {
+// updateSaturation decides whether the pool is saturated.
+func (p *pool) updateSaturation() {
 	slots, requests := 0, 0
 	for _, t := range p.targets {
 		if t.eligible() {
@@ -210,11 +168,11 @@
 	p.saturated = float64(requests) >= saturation*float64(slots)
 }
 
-// judgePools updates the verdicts about all pools and their targets.
-func (s *Steering) judgePools(now time.Duration) {
+// updatePools updates what is derived from the loads and answers of all pools' targets.
+func (s *Steering) updatePools(now time.Duration) {
 	for _, p := range s.pools {
-		p.judgeSaturation()
-		p.judgeShare()
+		p.updateSaturation()
+		p.updateOwnKnowledge()
 		p.selectAvoided(now)
 	}
 }
--- a/coordination/steering/fastanswers_test.go
+++ b/coordination/steering/fastanswers_test.go
@@ -44,7 +44,7 @@
 					c.send()
 					if !detect {
 						r.targets[a.Key].fastAnswers = fastAnswerShare{}
-						r.judgePools(r.now)
+						r.updatePools(r.now)
 					}
 				})
 			})
@@ -82,6 +82,7 @@
 	r.run()
 }
 
+// Guards against a target that is avoided for ever after too fast answers.
 func TestFastAnswerShareDecays(t *testing.T) {
 	is := is.New(t)
 	var share fastAnswerShare
--- a/coordination/steering/flows.go
+++ b/coordination/steering/flows.go
@@ -110,7 +110,7 @@
 	} else {
 		f.target.busy--
 	}
-	f.target.listPending(f)
+	f.target.updatePending(f)
 }
 
 // setCountedOpen sets whether the flow counts as open and updates its target's
@@ -139,7 +139,7 @@
 	} else {
 		f.target.opening--
 	}
-	f.target.listPending(f)
+	f.target.updatePending(f)
 }
 
 // sweep removes flows that have ended or are idle, and expires the load of
--- a/coordination/steering/loads.go
+++ b/coordination/steering/loads.go
@@ -65,7 +65,7 @@
 		t.held = l.Share.Held(uint32(t.token))
 	}
 	s.setMeanLoads()
-	s.judgePools(s.lastSweep) // shares change slowly
+	s.updatePools(s.lastSweep) // shares change slowly
 	s.setZones(l)
 }
 
--- a/coordination/steering/openings.go
+++ b/coordination/steering/openings.go
@@ -47,7 +47,7 @@
 // caller retransmits it, and refuses any other.
 func (s *Steering) rejectOpening(p *Segment, r *route, a *Action, c *choice) {
 	s.counts.RejectedOpenings[overload.Class(r.priority)][c.cause]++
-	if c.cause.waits() && p.Copy < lastCopy && !c.atOnce {
+	if c.cause.retriable() && p.Copy < lastCopy && !c.atOnce {
 		a.Cause = c.cause
 		return
 	}
--- a/coordination/steering/place.go
+++ b/coordination/steering/place.go
@@ -94,14 +94,14 @@
 			ad.spread.add(t, cost, s.load(now, t), rendezvous.Mix(hash, t.entry.Number))
 			continue
 		}
-		if sampling && (cost < freeSlotCost || own.samples(t, cost)) {
+		if sampling && (cost < freeSlotCost || own.mayBorrow(t, cost)) {
 			sampled.add(t, cost, rendezvous.Mix(hash, t.entry.Number))
 		}
 	}
 	if ad.spread.best != nil {
 		return ad.spread.best, cause
 	}
-	if t, c := sampled.cheapest(); t != nil && !own.leavesZone(best, bestCost, c) {
+	if t, c := sampled.cheapest(); t != nil && !own.prefersOtherZone(best, bestCost, c) {
 		best, bestCost = t, c
 	}
 	return own.choose(best, bestCost), cause
--- a/coordination/steering/sample_test.go
+++ b/coordination/steering/sample_test.go
@@ -44,9 +44,7 @@
 }
 
 // Guards against hosts that all place their next flows at the same target, which
-// their common report shows as the least loaded: after a zone was lost, one
-// target of 69 got 118 of 1,586 flows, and targets rejected four times as many
-// requests as without common reports.
+// their common report shows as the least loaded, so that it rejects requests.
 func TestHostsDoNotCrowdOneTarget(t *testing.T) {
 	is := is.New(t)
 	for seed := range uint64(5) {
--- a/coordination/steering/steering.go
+++ b/coordination/steering/steering.go
@@ -48,7 +48,7 @@
 	CrossZone bool
 	// Admission admits new flows by the objectives and priorities of their routes.
 	Admission bool
-	// ExpectedWork places new flows by the expected time of service of requests.
+	// ExpectedWork places new flows by the expected service time of requests.
 	ExpectedWork bool
 }
 
@@ -142,7 +142,7 @@
 	s.confirmSilences(now)
 	s.resetDeadFlows(now, reset)
 	s.endPresumedCold(now)
-	s.judgePools(now)
+	s.updatePools(now)
 	s.expireUnreachable(now)
 }
 
--- a/coordination/steering/view.go
+++ b/coordination/steering/view.go
@@ -16,7 +16,7 @@
 	totalWeight int
 	idempotent  bool
 	answerTimes answerTimes
-	// served is the median time of service of requests, without the wait in queues.
+	// served is the median service time of requests, without the wait in queues.
 	served quantileEstimate
 	// objective, timeout and priority are those of the configuration.
 	objective, timeout time.Duration
--- a/coordination/steering/work.go
+++ b/coordination/steering/work.go
@@ -7,20 +7,18 @@
 )
 
 // Load by expected work. The load pattern: requests of one service differ in cost by
-// a factor of seven to fifteen, so targets with equally many requests in progress
+// a factor of five to fifteen, so targets with equally many requests in progress
 // keep a new one waiting for very different times. The load of a target is therefore
 // the expected remaining time of its requests, as package servicetime estimates it.
 
 const (
 	// maxRequestWork is the largest work of one request in mean service times, which
-	// bounds the effect of a wrong estimate. A request of 182 ms on a route with 3%
-	// of them counts as 6.
+	// bounds the effect of a wrong estimate.
 	maxRequestWork = 16.0
 	// minKnownShare is the share of a pool's requests that this host must have sent
 	// itself before its own ones count as less than the mean. Reports of other hosts
 	// are up to 400 ms old. If the host's own requests, the part that is up to date,
-	// counted less, hosts would follow old reports to the same targets: with two hosts
-	// the mean wait rose by half.
+	// counted less, hosts would follow old reports to the same targets.
 	minKnownShare = 0.75
 	// maxOrderedSlots is the largest number of slots for which the order of requests
 	// is considered, maxOrderedPeers the largest number of other hosts' requests.
@@ -31,25 +29,6 @@
 	maxFreeSlotLoad = 0.9
 )
 
-// pendingWork is what a host records about a flow's request in progress. A flow is
-// in its target's list while it is opening or busy.
-type pendingWork struct {
-	// times estimates the service times of the flow's requests; nil if unknown.
-	times *servicetime.Distribution
-	// roundTrip is the time that the flow's handshake took, 0 if this host did not see
-	// it.
-	roundTrip time.Duration
-	// serviceAt is when the target is expected to begin to serve the request.
-	serviceAt time.Duration
-	// answered is set once the target has answered a request of the flow. watchedAt
-	// is when the flow's time was last counted since.
-	answered  bool
-	watchedAt time.Duration
-	// listed is set while the flow is in its target's list, between previous and next.
-	listed         bool
-	previous, next *flow
-}
-
 // learnsServiceTimes reports whether an optional decision uses service times.
 func (s *Steering) learnsServiceTimes() bool {
 	return s.cfg.Balancing.ExpectedWork || s.cfg.Balancing.Admission
@@ -97,37 +76,6 @@
 	return time.Duration(sum / weights), true
 }
 
-// listPending adds a flow to the target's list or removes it, after its state has
-// changed.
-func (t *target) listPending(f *flow) {
-	pending := f.busy || f.opening
-	if pending == f.listed {
-		return
-	}
-	f.listed = pending
-	if pending {
-		f.previous, f.next = t.lastPending, nil
-		if t.lastPending != nil {
-			t.lastPending.next = f
-		} else {
-			t.firstPending = f
-		}
-		t.lastPending = f
-		return
-	}
-	if f.previous != nil {
-		f.previous.next = f.next
-	} else {
-		t.firstPending = f.next
-	}
-	if f.next != nil {
-		f.next.previous = f.previous
-	} else {
-		t.lastPending = f.previous
-	}
-	f.previous, f.next = nil, nil
-}
-
 // startWork records that a flow sends a request to its target. The flow does not
 // count as busy yet.
 func (s *Steering) startWork(now time.Duration, r *route, f *flow) {
@@ -171,8 +119,8 @@
 	f.watchedAt = now
 }
 
-// judgeShare decides how much of the pool's load this host knows itself.
-func (p *pool) judgeShare() {
+// updateOwnKnowledge updates how much of the pool's load this host knows itself.
+func (p *pool) updateOwnKnowledge() {
 	own, peers := 0, 0
 	for _, t := range p.targets {
 		own += t.busy + t.opening
--- a/coordination/steering/workreplay_test.go
+++ b/coordination/steering/workreplay_test.go
@@ -31,7 +31,7 @@
 	name           string
 	hosts, targets int
 	load           float64
-	// mean is the mean time of service over all requests.
+	// mean is the mean service time over all requests.
 	mean  time.Duration
 	setUp func(z *zoneReplay)
 }
--- a/coordination/steering/zonereplay_test.go
+++ b/coordination/steering/zonereplay_test.go
@@ -49,11 +49,11 @@
 	// share returns the hosts' shares of the slots at an exchange, nil without
 	// allotments.
 	share func() []allotment.Share
-	// work returns the time of service of the next request.
+	// work returns the service time of the next request.
 	work func() time.Duration
 	// route is the service address of the next request.
 	route func() packet.Endpoint
-	// routeWork returns the time of service of a request of a route, in place of
+	// routeWork returns the service time of a request of a route, in place of
 	// work for the routes in it.
 	routeWork map[packet.Endpoint]func() time.Duration
 }
@@ -65,7 +65,7 @@
 	waiting     []func()
 	// failing is set if each request is answered at once with an error.
 	failing bool
-	// slowness multiplies the time of service if it is not 0.
+	// slowness multiplies the service time if it is not 0.
 	slowness float64
 	// arrivals holds the times of the openings that reached the target.
 	arrivals []time.Duration
@@ -331,9 +331,9 @@
 	return func(time.Duration) float64 { return share }
 }
 
-// Guards against an overload that keeps itself alive: while requests waited in the
-// targets' queues, targets that were idle answered far faster than usual, were
-// avoided as failing for ten seconds, and the rest was overloaded.
+// Guards against an overload that outlasts its cause: while requests wait in queues,
+// idle targets answer far faster than usual, and must not be avoided as failing, which
+// would overload the others.
 func TestOverloadEndsWithItsCause(t *testing.T) {
 	is := is.New(t)
 	const (
