--- a/coordination/crosszone/crosszone_test.go
+++ b/coordination/crosszone/crosszone_test.go
@@ -289,8 +289,9 @@
 	is.True(math.Abs(a/b-2) <= 0.3)
 }
 
-// Below the utilization limit nothing is sent away, also when all requests wait in
-// queues elsewhere; the share follows in bounded steps.
+// Guards against a share that changes faster than zones can follow, and against flows
+// that are sent away below the utilization limit, also when all requests wait in queues
+// elsewhere.
 func TestShareMovesInSteps(t *testing.T) {
 	is := is.New(t)
 	demand := func(now time.Duration) float64 {
--- a/coordination/crosszone/failures_test.go
+++ b/coordination/crosszone/failures_test.go
@@ -67,8 +67,8 @@
 	is.True(sent >= 35 && sent <= 42)
 }
 
-// A zone that this host cannot reach gets nothing from the next round on, whatever it
-// offers.
+// Guards against flows that are sent to a zone which this host cannot reach, because it
+// offers capacity.
 func TestUnreachableZoneGetsNothing(t *testing.T) {
 	is := is.New(t)
 	m := newModel(5, constantDemand(120), constantDemand(30))
@@ -100,8 +100,8 @@
 	}
 }
 
-// A reader that was stalled sends no summary before the hosts have reported again and
-// the packet path has summed the reports.
+// Guards against a reader that was stalled and sends a summary before the hosts have
+// reported again and the packet path has summed the reports.
 func TestStalledReaderSendsNothingAtFirst(t *testing.T) {
 	is := is.New(t)
 	r := NewReader("a")
--- a/coordination/overload/overload.go
+++ b/coordination/overload/overload.go
@@ -69,8 +69,8 @@
 const (
 	firstRetransmission = 200 * time.Millisecond
 	lastRetransmission  = 600 * time.Millisecond
-	// lastCopy is the number of the last retransmission.
-	lastCopy = 2
+	// LastCopy is the number of the last retransmission.
+	LastCopy = 2
 )
 
 // Elapsed returns the time from a caller's first opening to the copy with this
@@ -79,7 +79,7 @@
 	switch {
 	case copies == 0:
 		return 0
-	case copies < lastCopy:
+	case copies < LastCopy:
 		return firstRetransmission
 	}
 	return lastRetransmission
@@ -247,7 +247,7 @@
 		return Decision{Limit: s.maxQueue()}
 	case o.Objective > 0 && Elapsed(o.Copy)+t.RoundTrip >= o.Objective:
 		return Decision{Limit: freeSlotLimit, Reason: ReasonLate}
-	case o.Copy < lastCopy:
+	case o.Copy < LastCopy:
 		return Decision{Limit: repeatedLimit}
 	}
 	return Decision{Limit: s.maxQueue()}
--- a/coordination/steering/allotted_test.go
+++ b/coordination/steering/allotted_test.go
@@ -192,7 +192,7 @@
 }
 
 // Guards against hosts that meet at the same targets because they place flows by
-// old loads: at 0.75 of the slots each request was rejected 0.7 times.
+// old loads, so that full targets reject requests while others are idle.
 func TestAllottedSlotsLevelTheLoad(t *testing.T) {
 	const seeds = 4
 	for _, kill := range []bool{false, true} {
@@ -283,8 +283,8 @@
 	return keys
 }
 
-// An opening goes to an unused slot of the host; a target whose slot is in use gets
-// the next one only when no other is unused.
+// Guards against openings that use slots of other hosts, or queue, while the host has
+// an unused slot of its own.
 func TestOwnSlotsComeFirst(t *testing.T) {
 	is := is.New(t)
 	w := allottedFixture(t, 4, 1)
@@ -299,8 +299,8 @@
 	is.Equal(len(stats.Targets), 12)
 }
 
-// Own slots of a target that is silent, avoided, missing or the one that did not
-// answer are not used while others are free.
+// Guards against openings at a target that is silent, avoided, missing or did not
+// answer the previous one, only because the host holds a slot of it.
 func TestUnusableOwnSlotsAreNotUsed(t *testing.T) {
 	for name, spoil := range map[string]func(*fixture, *target){
 		"silent":                 func(w *fixture, target *target) { target.health.markSilent(w.now) },
@@ -344,8 +344,8 @@
 	}
 }
 
-// Without a valid share, in a small zone or without the setting, own slots do not
-// matter.
+// Guards against own slots that decide without a valid share, in a small zone or
+// without the setting.
 func TestShareIsIgnoredUnlessInForce(t *testing.T) {
 	for name, change := range map[string]func(*fixture){
 		"expired":         func(w *fixture) { w.now += allotment.Lifetime },
@@ -392,8 +392,8 @@
 	}
 }
 
-// Near the connection limit only holders send a target flows, each its part, so that
-// hosts with old counts do not exceed the limit together.
+// Guards against hosts with old counts that exceed a target's connection limit
+// together: near the limit only holders send it flows, each up to its part.
 func TestConnectionLimitNearItsEnd(t *testing.T) {
 	const limit = 20
 	for _, c := range []struct {
@@ -421,8 +421,8 @@
 	}
 }
 
-// Reports of loads count only for requests that take longer than the reports are
-// old: all hosts know the same ones.
+// Guards against hosts that all choose the same target by old reports: a report counts
+// only if requests take longer than the report is old.
 func TestOldReportsDoNotDecide(t *testing.T) {
 	is := is.New(t)
 	for took, want := range map[time.Duration]float64{50 * time.Millisecond: 0, 4 * time.Second: math.Exp(-0.1)} {
@@ -437,7 +437,8 @@
 	}
 }
 
-// The states of targets that the reader allots by.
+// Guards against slots that are allotted of targets which take no flows: the reader
+// allots by the states that hosts report.
 func TestStateOfAllottedTargets(t *testing.T) {
 	is := is.New(t)
 	w := allottedFixture(t, 0, 0)
--- a/coordination/steering/crosszone_test.go
+++ b/coordination/steering/crosszone_test.go
@@ -145,8 +145,8 @@
 	is.True(w.placedBy(100)["b"] > 0)
 }
 
-// All copies of an opening are sent away or none is, whatever the host; a copy of one
-// that a target of another zone left unanswered stays in this zone.
+// Guards against copies of one opening that hosts place in different zones, and against
+// a copy that goes again to a zone which left the previous one unanswered.
 func TestCopiesOfAnOpeningDecideAlike(t *testing.T) {
 	is := is.New(t)
 	first, second := newZoneFixture(t), newZoneFixture(t)
@@ -178,8 +178,8 @@
 	}
 }
 
-// A zone that is out, that this host cannot reach or whose targets are cold gets no
-// opening, whatever it offers.
+// Guards against openings that are sent to a zone that is out, that this host cannot
+// reach or whose targets are cold, because it offers capacity.
 func TestUnusableZoneGetsNothing(t *testing.T) {
 	causes := map[string]func(w *fixture){
 		"zone out":    func(w *fixture) { w.view.ZonesOut = map[string]bool{"b": true}; w.apply() },
@@ -221,7 +221,7 @@
 	}
 }
 
-// The capacity that a zone reports leaves out the targets that take no new flows.
+// Guards against a zone that reports the capacity of targets that take no new flows.
 func TestCapacityFollowsTheStateOfTargets(t *testing.T) {
 	is := is.New(t)
 	w := newZoneFixture(t)
@@ -256,8 +256,8 @@
 	is.Equal(len(w.ZoneLoads(w.now)), 0)
 }
 
-// Each host reports that the share begins, changes and ends, not more often than once
-// in a few seconds for a service.
+// Guards against changes of the share that are not reported, and against reports of a
+// service that follow each other within a few seconds.
 func TestShareEvents(t *testing.T) {
 	is := is.New(t)
 	w := newZoneFixture(t)
@@ -276,7 +276,7 @@
 	is.Equal(events[2].Share, 0.0)
 }
 
-// A host without the setting places as before, whatever summaries it gets.
+// Guards against summaries that change decisions although the setting is off.
 func TestSummariesAreIgnoredWithoutTheSetting(t *testing.T) {
 	is := is.New(t)
 	w := newZoneFixture(t)
--- a/coordination/steering/crosszonereplay_test.go
+++ b/coordination/steering/crosszonereplay_test.go
@@ -18,8 +18,8 @@
 
 const (
 	// fleetHosts is the number of hosts of a zone. One host knows all loads of its zone at
-	// once; with more of them, loads that are up to 400 ms old decide at 0.85 of the slots,
-	// not the choice of the zone. reportedHosts is the number that makes a zone a large one.
+	// once; with more of them, old loads would decide the result, not the choice of the
+	// zone. reportedHosts is the number that makes a zone a large one.
 	fleetHosts    = 1
 	reportedHosts = 12
 	fleetTargets  = 40
@@ -78,6 +78,7 @@
 // minTurn is a little more than the random variations of offers and demand.
 const minTurn = 0.06
 
+// add counts a turn if the value has changed direction.
 func (c *turns) add(v float64) {
 	switch {
 	case c.rising == (v > c.extreme):
--- a/coordination/steering/fastanswers_test.go
+++ b/coordination/steering/fastanswers_test.go
@@ -82,7 +82,7 @@
 	r.run()
 }
 
-// Guards against a target that is avoided for ever after too fast answers.
+// Guards against a target that stays avoided after its answers were too fast once.
 func TestFastAnswerShareDecays(t *testing.T) {
 	is := is.New(t)
 	var share fastAnswerShare
@@ -96,8 +96,8 @@
 	is.True(share.shareAt(0) < 0.71)
 }
 
-// The estimate of a route's fastest answers converges, tells failing targets from
-// healthy ones and needs some answers first.
+// Guards against an estimate of a route's fastest answers that does not converge, does
+// not tell failing targets from healthy ones or is used after too few answers.
 func TestAnswerTimesConverge(t *testing.T) {
 	is := is.New(t)
 	const roundTrip = 6 * time.Millisecond
@@ -146,8 +146,8 @@
 	is.True(float64(tooFast) < 0.02*answers)
 }
 
-// A share of too fast answers that another host of the zone reports counts at
-// this host too.
+// Guards against a host that keeps using a failing target which another host of the
+// zone has reported.
 func TestPeersFindFailingTargets(t *testing.T) {
 	is := is.New(t)
 	w := newFixture(t)
--- a/coordination/steering/queue.go
+++ b/coordination/steering/queue.go
@@ -1,5 +1,7 @@
 package steering
 
+import "github.com/jujubehaven/jujubehaven/coordination/overload"
+
 // Queue limits. The load pattern: all hosts were down for a second or two, and
 // the openings that callers retransmit meanwhile arrive within a second, at
 // twice the capacity of the targets. Each target serves in the order of
@@ -20,7 +22,7 @@
 	// lastQueueLimit is the limit for the last retransmission of an opening.
 	lastQueueLimit = 3.0
 	// lastCopy is the number of a caller's last retransmission of an opening.
-	lastCopy = 2
+	lastCopy = overload.LastCopy
 )
 
 // queueLimit returns the number of requests at a target, in multiples of its
--- a/coordination/steering/work_test.go
+++ b/coordination/steering/work_test.go
@@ -58,7 +58,7 @@
 	is.True(longLoad < freeSlotCost) // it has free slots
 }
 
-// With the setting off nothing is learned, and the load is the count.
+// Guards against loads by expected work although the setting is off.
 func TestCountsWithoutSetting(t *testing.T) {
 	is := is.New(t)
 	w := newFixture(t)
