--- a/coordination/steering/admission.go
+++ b/coordination/steering/admission.go
@@ -69,7 +69,7 @@
 	ad.ownZoneLimit, ad.otherZoneLimit = ad.Limit, ad.Limit
 	ad.ownZoneFull = pl.demand.Short(now) && load.full(ad.Limit+inNetwork(times))
 	ad.AtOnce = ad.AtOnce && s.peerLoads.Hosts > 1 // else the next attempt reaches this host
-	if s.peerLoads.Hosts > maxComparingHosts && !allotted {
+	if s.inLargeZone() && !allotted {
 		ad.spread = newSpread(load.perSlot, times.Service)
 		if ad.Limit > 0 && ad.Reason != overload.ReasonLate {
 			// The limit holds for the mean of the targets. A limit on old loads of
--- a/coordination/steering/allotted.go
+++ b/coordination/steering/allotted.go
@@ -38,8 +38,7 @@
 
 // allotted reports whether this host's share of the slots is in force.
 func (s *Steering) allotted(now time.Duration) bool {
-	l := s.peerLoads
-	return s.cfg.Balancing.Allotments && l != nil && l.Hosts > maxComparingHosts && l.Share.Valid(now)
+	return s.cfg.Balancing.Allotments && s.inLargeZone() && s.peerLoads.Share.Valid(now)
 }
 
 // holdsFreeSlot reports whether the host holds a slot of the target that it does not
--- a/coordination/steering/allotted_test.go
+++ b/coordination/steering/allotted_test.go
@@ -462,6 +462,7 @@
 	}
 }
 
+// Guards against memory that is allocated for each packet of an open flow.
 func TestKnownFlowAllocatesNothingWithAllotments(t *testing.T) {
 	w := allottedFixture(t, 4, 1)
 	c, _ := w.established(1, feeds)
--- a/coordination/steering/crosszone.go
+++ b/coordination/steering/crosszone.go
@@ -207,8 +207,7 @@
 // leaves them unanswered or fails them.
 func (s *Steering) answers(now time.Duration, t *target, limits fleet.ServiceLimits) bool {
 	return t.eligible() && !t.entry.Missing && !t.path.unreachable && t.health.usable(now) &&
-		t.peersUnanswered < minSilentFlows && !t.avoided &&
-		(limits.Connections <= 0 || t.open+t.peersOpen < limits.Connections)
+		t.peersUnanswered < minSilentFlows && !t.avoided && !t.atConnectionLimit(limits)
 }
 
 // placeAway returns a target of another zone for a flow of the share that is sent
@@ -251,7 +250,7 @@
 // to the requests that its queues can still take. It also returns the zone that takes the flow, nil if the
 // target is not replaced.
 func (s *Steering) spreadOverflow(now time.Duration, pl *pool, p *Segment, best, former *target) (*target, *remoteZone) {
-	if best.remote == nil || now >= best.remote.ValidUntil || former != nil {
+	if !best.remote.valid(now) || former != nil {
 		return best, nil
 	}
 	r := best.remote
@@ -271,7 +270,7 @@
 	queueable := make([]float64, len(b.zones))
 	sum := 0.0
 	for i, r := range b.zones {
-		if now < r.ValidUntil {
+		if r.valid(now) {
 			queueable[i] = max(limit*float64(r.Slots)-float64(r.Busy+r.sent), 0)
 			sum += queueable[i]
 		}
@@ -286,6 +285,9 @@
 	return otherwise
 }
 
+// valid reports whether the zone has a summary that has not expired.
+func (r *remoteZone) valid(now time.Duration) bool { return r != nil && now < r.ValidUntil }
+
 // full reports whether the zone takes no flow beyond the share sent away. The rest of
 // its offer is divided among the hosts; of a fraction of a flow, the
 // hash decides whether it is one.
@@ -301,7 +303,7 @@
 // remoteLoad returns the requests per slot at a target of another zone that this
 // zone's hosts do not cause, by that zone's summary; 0 if there is no valid one.
 func (t *target) remoteLoad(now time.Duration) float64 {
-	if t.remote == nil || now >= t.remote.ValidUntil {
+	if !t.remote.valid(now) {
 		return 0
 	}
 	return t.remote.RequestsPerSlot()
@@ -310,7 +312,7 @@
 // otherZoneCost is added to the cost of a target of another zone.
 func (t *target) otherZoneCost(now time.Duration, hash uint64) float64 {
 	cost := otherZonePenalty + t.remoteLoad(now)
-	if t.remote != nil && now < t.remote.ValidUntil && t.remote.full(hash) {
+	if t.remote.valid(now) && t.remote.full(hash) {
 		cost += fullZonePenalty
 	}
 	return cost
--- a/coordination/steering/explain.go
+++ b/coordination/steering/explain.go
@@ -178,7 +178,7 @@
 		{outGone, t.entry.Gone},
 		{outZone, t.zoneOut},
 		{outTokenCollision, t.shadowed},
-		{outConnectionLimit, pl.limits.Connections > 0 && t.open+t.peersOpen >= pl.limits.Connections},
+		{outConnectionLimit, t.atConnectionLimit(pl.limits)},
 		{outColdElsewhere, !s.allowsColdOpening(now, t, pl.limits) && t.entry.Zone != s.cfg.Zone},
 		{outColdLimit, !s.allowsColdOpening(now, t, pl.limits) && t.entry.Zone == s.cfg.Zone},
 		{outQueueFull, t.queuedPerSlot() >= s.queueLimit(0)},
--- a/coordination/steering/place.go
+++ b/coordination/steering/place.go
@@ -66,14 +66,11 @@
 	var best *target
 	var bestCost float64
 	var sampled sample
-	sampling := s.peerLoads != nil && s.peerLoads.Hosts > maxComparingHosts
+	sampling := s.inLargeZone()
 	own := s.newAllottedChoice(now, pl, r)
 	cause := CauseNoTarget
 	for _, t := range pl.targets {
-		if !t.eligible() || (pl.limits.Connections > 0 && t.open+t.peersOpen >= pl.limits.Connections) {
-			continue
-		}
-		if !own.allowsFlow(t, pl.limits) {
+		if !t.eligible() || t.atConnectionLimit(pl.limits) || !own.allowsFlow(t, pl.limits) {
 			continue
 		}
 		if !s.allowsColdOpening(now, t, pl.limits) {
--- a/coordination/steering/queue.go
+++ b/coordination/steering/queue.go
@@ -1,6 +1,9 @@
 package steering
 
-import "github.com/jujubehaven/jujubehaven/coordination/overload"
+import (
+	"github.com/jujubehaven/jujubehaven/coordination/fleet"
+	"github.com/jujubehaven/jujubehaven/coordination/overload"
+)
 
 // Queue limits. The load pattern: all hosts were down for a second or two, and
 // the openings that callers retransmit meanwhile arrive within a second, at
@@ -48,6 +51,12 @@
 	return CauseNoCapacity
 }
 
+// atConnectionLimit reports whether the target's open flows, as known to the hosts of
+// this zone, have reached the connection limit.
+func (t *target) atConnectionLimit(limits fleet.ServiceLimits) bool {
+	return limits.Connections > 0 && t.open+t.peersOpen >= limits.Connections
+}
+
 // queuedPerSlot returns the requests in progress, queued or about to arrive at
 // a target, in multiples of its slots, as known to the hosts of this zone.
 func (t *target) queuedPerSlot() float64 {
--- a/coordination/steering/sample.go
+++ b/coordination/steering/sample.go
@@ -40,6 +40,12 @@
 	}
 }
 
+// inLargeZone reports whether this host's zone has too many hosts to compare all targets
+// by the loads that others report.
+func (s *Steering) inLargeZone() bool {
+	return s.peerLoads != nil && s.peerLoads.Hosts > maxComparingHosts
+}
+
 // cheapest returns the target with the lowest cost and that cost, nil if there is
 // none.
 func (s *sample) cheapest() (*target, float64) {
