--- a/coordination/steering/queue.go
+++ b/coordination/steering/queue.go
@@ -1,5 +1,10 @@
 package steering
 
+import (
+	"github.com/jujubehaven/jujubehaven/coordination/fleet"
+	"github.com/jujubehaven/jujubehaven/coordination/overload"
+)
+
 // Queue limits. The load pattern: all hosts were down for a second or two, and
 // the openings that callers retransmit meanwhile arrive within a second, at
 // twice the capacity of the targets. Each target serves in the order of
@@ -20,7 +25,7 @@
 	// lastQueueLimit is the limit for the last retransmission of an opening.
 	lastQueueLimit = 3.0
 	// lastCopy is the number of a caller's last retransmission of an opening.
-	lastCopy = 2
+	lastCopy = overload.LastCopy
 )
 
 // queueLimit returns the number of requests at a target, in multiples of its
@@ -46,6 +51,12 @@
 	return CauseNoCapacity
 }
 
+// atConnectionLimit reports whether the target's open flows, as known to the hosts of
+// this zone, have reached the connection limit.
+func (t *target) atConnectionLimit(limits fleet.ServiceLimits) bool {
+	return limits.Connections > 0 && t.open+t.peersOpen >= limits.Connections
+}
+
 // queuedPerSlot returns the requests in progress, queued or about to arrive at
 // a target, in multiples of its slots, as known to the hosts of this zone.
 func (t *target) queuedPerSlot() float64 {
