--- a/transport/follow/fixture_test.go
+++ b/transport/follow/fixture_test.go
@@ -111,9 +111,11 @@
 }
 
 type stubPeers struct {
-	mu    sync.Mutex
-	reads bool
-	sent  []gossip.Feed
+	// answering counts the answers that are under way.
+	answering sync.WaitGroup
+	mu        sync.Mutex
+	reads     bool
+	sent      []gossip.Feed
 	// fetched answers the calls of Fetch, which fetches counts; without it there
 	// is no host to fetch from.
 	fetched func(after store.Position)
@@ -147,7 +149,7 @@
 	if fetched == nil {
 		return false
 	}
-	go fetched(after)
+	p.answering.Go(func() { fetched(after) })
 	return true
 }
 
@@ -160,7 +162,7 @@
 	if tables == nil {
 		return false
 	}
-	go tables(after, from)
+	p.answering.Go(func() { tables(after, from) })
 	return true
 }
 
@@ -227,6 +229,7 @@
 	t.Cleanup(func() {
 		cancel()
 		<-done
+		x.peers.answering.Wait()
 	})
 }
 
