--- a/state/slo/slo_test.go
+++ b/state/slo/slo_test.go
@@ -183,3 +183,36 @@
 		}
 	})
 }
+
+// Guards against a count that leaves its window too soon: with steps of 9 s a count of
+// 297 s ago is missing in the window of five minutes.
+func TestCountStaysForItsWindow(t *testing.T) {
+	is := is.New(t)
+	const step = 9 * time.Second
+	missing := 0
+	for n := 2; n < 60; n++ {
+		st := slo.New(0)
+		s := st.Service("orders", objectives)
+		low := uint64(0)
+		end := time.Duration(n) * step
+		for i := range n {
+			count := uint64(0)
+			if i < 2 {
+				count = 1
+			}
+			s.Count(slo.NewFlowsServed, count, 0)
+			at := time.Duration(i+1) * step
+			st.Advance(at)
+			if end-at < 5*time.Minute {
+				low += count
+			}
+		}
+		for _, w := range st.Report(end, "h1", "z1").Services[0].Windows {
+			if w.Seconds == 300 && w.NewFlowsServed.Good < low {
+				t.Logf("%d steps: %d, want %d or more", n, w.NewFlowsServed.Good, low)
+				missing++
+			}
+		}
+	}
+	is.Equal(missing, 0)
+}
