Keep samples of service levels for a whole window

The oldest and the newest of 31 samples may lie 30 steps of 9 s apart, 270 s and a few skipped buckets, so a count of 297 s ago left the window of 300 s. With 32 samples the oldest is always older than the window.

--- a/state/slo/ring.go
+++ b/state/slo/ring.go
@@ -21,6 +21,11 @@
 	}
 }
 
+// samplesPerWindow is the number of samples that always span a window: both the oldest
+// and the newest may lie anywhere in their bucket, so one more bucket than the window has
+// is needed between them.
+const samplesPerWindow = bucketsPerWindow + 2
+
 // sample holds the totals at one time.
 type sample struct {
 	at     time.Duration
@@ -36,7 +41,7 @@
 	nextBoundary time.Duration
 	// base holds the totals before the first sample.
 	base    totals
-	samples [bucketsPerWindow + 1]sample
+	samples [samplesPerWindow]sample
 	// n is the number of samples written so far; the newest is
 	// samples[(n-1) % len(samples)].
 	n int
