--- a/cmd/jujubehaven/run.go
+++ b/cmd/jujubehaven/run.go
@@ -62,6 +62,7 @@
 		return runTokenHost(c, s, source)
 	}
 	log := logging.New(c.Root().ErrWriter, zerolog.DebugLevel)
+	logIgnored(log, s)
 	d, err := daemon.New(s, log)
 	if err != nil {
 		return cli.Exit(err.Error(), exitFailure)
@@ -75,6 +76,7 @@
 	queue := logging.NewQueue(c.Root().Writer)
 	defer func() { _ = queue.Close() }() // flushes the queue; an error can't be logged any more
 	log := logging.New(queue, zerolog.DebugLevel)
+	logIgnored(log, s)
 	deps, err := platform.New(s.Platform, s.Data[0])
 	if err != nil {
 		return cli.Exit(err.Error(), exitSettings)
@@ -87,6 +89,13 @@
 	return serve(h, source, log)
 }
 
+// logIgnored logs the settings that this version does not know.
+func logIgnored(log zerolog.Logger, s settings.Settings) {
+	for _, p := range s.Ignored {
+		log.Warn().Str("event", "setting_ignored").Str("where", p.Where).Str("key", p.Key).Str("reason", p.Reason).Send()
+	}
+}
+
 // host is the common interface of the daemons for both kinds of steering.
 type host interface {
 	Run(leave, abort context.Context) error
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -45,16 +45,16 @@
 
 func balancingKeys() []Key {
 	return []Key{
-		balancingKey("allotments", "true shares out the slots of targets among the hosts of a large zone", func(b *Balancing) *bool { return &b.Allotments }),
-		balancingKey("cross_zone", "true sends new flows to other zones by their spare capacity", func(b *Balancing) *bool { return &b.CrossZone }),
-		balancingKey("admission", "true admits new flows by the objectives and priorities of their routes", func(b *Balancing) *bool { return &b.Admission }),
-		balancingKey("expected_work", "true places new flows by the expected time of service of requests", func(b *Balancing) *bool { return &b.ExpectedWork }),
+		balancingKey("allotments", "false stops sharing out the slots of targets among the hosts of a large zone", func(b *Balancing) *bool { return &b.Allotments }),
+		balancingKey("cross_zone", "false stops sending new flows to other zones by their spare capacity", func(b *Balancing) *bool { return &b.CrossZone }),
+		balancingKey("admission", "false stops admitting new flows by the objectives and priorities of their routes", func(b *Balancing) *bool { return &b.Admission }),
+		balancingKey("expected_work", "false stops placing new flows by the expected time of service of requests", func(b *Balancing) *bool { return &b.ExpectedWork }),
 	}
 }
 
 func balancingKey(name, usage string, field func(*Balancing) *bool) Key {
 	return Key{
-		Name: "balancing." + name, Default: "false", Usage: usage,
+		Name: "balancing." + name, Default: "true", Usage: usage,
 		set: single(func(s *Settings, v string) error { return setBool(field(&s.Balancing), v) }),
 	}
 }
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -69,10 +69,16 @@
 	where string
 }
 
+// ifKnownGroup is the group of the file for settings that not all versions in use know:
+// a version that does not know one ignores it.
+const ifKnownGroup = "if_known"
+
 type loader struct {
 	settings Settings
 	values   map[string]value
 	problems []Problem
+	// ifKnown is set while the group if_known is read.
+	ifKnown bool
 }
 
 func (l *loader) addProblem(where, key, format string, args ...any) {
@@ -117,11 +123,18 @@
 		l.readValue(path, k, where, val)
 		return
 	}
-	if isGroup(name) {
+	switch {
+	case isGroup(name):
 		l.readMapping(path, name+".", val)
-		return
+	case l.ifKnown:
+		l.settings.Ignored = append(l.settings.Ignored, Problem{Where: where, Key: name, Reason: "unknown to this version"})
+	case name == ifKnownGroup:
+		l.ifKnown = true
+		l.readMapping(path, "", val)
+		l.ifKnown = false
+	default:
+		l.addProblem(where, name, "unknown key")
 	}
-	l.addProblem(where, name, "unknown key")
 }
 
 func (l *loader) readValue(path string, k Key, where string, val *yaml.Node) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -58,10 +58,12 @@
 	LogLevel  zerolog.Level
 	Limits    Limits
 	Balancing Balancing
+	// Ignored lists the settings of the group if_known that this version does not know.
+	Ignored []Problem
 }
 
-// Balancing switches on the optional methods by which hosts that steer by token balance
-// high load.
+// Balancing holds the methods by which hosts that steer by token balance high load. Each
+// can be switched off.
 type Balancing struct {
 	// Allotments lets the hosts of a large zone share out the slots of targets.
 	Allotments bool
@@ -160,5 +162,6 @@
 			ReadBuffer:    tunnel.DefaultReadBufferBytes,
 			ICMPErrors:    tunnel.DefaultICMPErrorsPerSecond,
 		},
+		Balancing: Balancing{Allotments: true, CrossZone: true, Admission: true, ExpectedWork: true},
 	}
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -107,6 +107,27 @@
 	}
 }
 
+// Guards against a host of an older version that does not start as the file holds a
+// setting of a newer one, and against typing errors that pass unnoticed elsewhere.
+func TestIfKnownGroup(t *testing.T) {
+	is := is.New(t)
+	path := writeSettings(t, validSettings+"if_known:\n  workers: 3\n  colour: red\n  balancing:\n    admission: false\n    later: 2\n")
+	s, err := Load(Source{File: path})
+	is.NoErr(err)
+	is.Equal(s.Workers, 3)
+	is.True(!s.Balancing.Admission)
+	is.Equal(s.Ignored, []Problem{
+		{Where: path + ":18", Key: "colour", Reason: "unknown to this version"},
+		{Where: path + ":21", Key: "balancing.later", Reason: "unknown to this version"},
+	})
+	for _, text := range []string{
+		"if_known: 3\n", "if_known: {workers: many}\n", "workers: 2\nif_known: {workers: 3}\n", "balancing: {later: 2}\n",
+	} {
+		_, err := Load(Source{File: writeSettings(t, validSettings+text)})
+		is.True(err != nil)
+	}
+}
+
 const validTokenSettings = `steering: token
 host: edge-a-1
 zone: a
