Refuse openings at once that need their time for other attempts

Cause: an opening without capacity was dropped until its caller's last copy after 600 ms. The caller's next attempt then came too late, no host can tell it from a first one, and it took the capacity of a request in time.

Change: an opening that is not placed is refused at once (not run) if its next copy takes more than a third of the objective, as callers make three attempts; late ones still wait for a free slot. A refusal by the retry budget keeps this, and a single host does it, too.

TestRefusesAtOnceWhatIsLateNextTime stated the former rule (eight service times, first copies, known times, several hosts); a table of both sides of the new one replaces it.

--- a/coordination/overload/overload.go
+++ b/coordination/overload/overload.go
@@ -39,9 +39,9 @@
 	// fairReserve is the part of the queue that callers over their fair share leave
 	// to the others.
 	fairReserve = 1.0
-	// minRetryServiceTimes is the number of service times that have to be left of the
-	// objective at the next copy for an opening to be dropped until then.
-	minRetryServiceTimes = 8
+	// callerAttempts is the number of attempts that a caller makes to have a request
+	// served, each with an opening of its own and its retransmissions.
+	callerAttempts = 3
 	// retryShare is the largest share of repeated openings among those admitted
 	// while first openings are turned away.
 	retryShare = 0.2
@@ -137,7 +137,7 @@
 	// Reason is why Limit is lower than that of others.
 	Reason Reason
 	// AtOnce is set if the opening is refused at once when it is not placed, so that the
-	// caller tries again elsewhere: its next copy would come too late.
+	// caller's next attempts come while the request can be in time.
 	AtOnce bool
 }
 
@@ -185,12 +185,13 @@
 func (s *Service) Decide(now time.Duration, o *Opening, t Times) Decision {
 	s.seen[Class(o.Priority)].add(now)
 	d := s.InTime(o, t)
-	d.AtOnce = lateAtNextCopy(o, t)
+	d.AtOnce = d.Reason != ReasonLate && exceedsAttempt(o)
 	if d.Limit == 0 || !s.Short(now) {
 		return d
 	}
 	if o.Copy > 0 && s.overRetryBudget(now) {
-		return Decision{Reason: ReasonRetryBudget}
+		d.Limit, d.Reason = 0, ReasonRetryBudget
+		return d
 	}
 	if d.Limit <= freeSlotLimit {
 		return d
@@ -204,13 +205,12 @@
 	return d
 }
 
-// lateAtNextCopy reports whether the opening's next copy could hardly be in time.
-// Where it is refused at once, the caller's next attempt reaches another host within
-// milliseconds. An attempt after a drop and a refusal begins at 600 ms, which is late,
-// and no host can tell it from a first one.
-func lateAtNextCopy(o *Opening, t Times) bool {
-	left := o.Objective - firstRetransmission - t.RoundTrip
-	return o.Copy == 0 && o.Objective > 0 && t.Service > 0 && left < minRetryServiceTimes*t.Service
+// exceedsAttempt reports whether the wait for the opening's next copy takes more than one
+// attempt's part of the objective. A caller that is refused begins its next attempt within
+// milliseconds. One that waits for its last copy begins it after 600 ms: no host can tell
+// that attempt from a first one, and a late request takes the capacity of one in time.
+func exceedsAttempt(o *Opening) bool {
+	return o.Objective > 0 && Elapsed(o.Copy+1) > o.Objective/callerAttempts
 }
 
 // InTime returns the limit up to which an opening is served within its objective, without
--- a/coordination/overload/overload_test.go
+++ b/coordination/overload/overload_test.go
@@ -87,18 +87,50 @@
 	is.Equal(s.Decide(now+15*time.Second, &high, Times{}).Limit, initialQueue)
 }
 
-// Guards against callers that wait for their next copy until their request is late,
-// although another attempt at another host would be in time.
-func TestRefusesAtOnceWhatIsLateNextTime(t *testing.T) {
+// Guards against callers that wait for their next copy until no further attempt can be in
+// time: served then, it takes the capacity of a request that can.
+func TestRefusesAtOnceWhatNeedsItsTimeForOtherAttempts(t *testing.T) {
+	times := Times{Service: 50 * ms, RoundTrip: 6 * ms}
+	cases := map[string]struct {
+		opening Opening
+		times   Times
+		want    bool
+	}{
+		"next copy after half of the objective":  {Opening{Objective: 400 * ms}, times, true},
+		"next copy within a third":               {Opening{Objective: 1200 * ms}, times, false},
+		"second copy, next one after half":       {Opening{Objective: 1200 * ms, Copy: 1}, times, true},
+		"second copy, next one within a third":   {Opening{Objective: 1800 * ms, Copy: 1}, times, false},
+		"service time unknown":                   {Opening{Objective: 400 * ms}, Times{}, true},
+		"late already: any answer counts":        {Opening{Objective: 240 * ms, Copy: 1}, times, false},
+		"objective under the service: late, too": {Opening{Objective: 40 * ms}, times, false},
+		"no objective: the caller may wait":      {Opening{}, times, false},
+		"no objective, second copy":              {Opening{Copy: 1}, times, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var s Service
+			is.Equal(s.Decide(now, &c.opening, c.times).AtOnce, c.want)
+			short(&s)
+			is.Equal(s.Decide(now, &c.opening, c.times).AtOnce, c.want)
+		})
+	}
+}
+
+// Guards against callers beyond the retry budget that wait for their last copy: their next
+// attempt would be late.
+func TestRetryBudgetRefusesAtOnce(t *testing.T) {
 	is := is.New(t)
 	var s Service
-	times := Times{Service: 50 * ms, RoundTrip: 6 * ms}
-	atOnce := func(o Opening, t Times) bool { return s.Decide(now, &o, t).AtOnce }
-	is.True(atOnce(Opening{Objective: 400 * ms}, times))
-	is.True(!atOnce(Opening{Objective: 1200 * ms}, times))
-	is.True(!atOnce(Opening{Objective: 400 * ms, Copy: 1}, times)) // it is late: any answer counts
-	is.True(!atOnce(Opening{Objective: 400 * ms}, Times{}))
-	is.True(!atOnce(Opening{}, times))
+	short(&s)
+	again := Opening{Objective: 400 * ms, Copy: 1}
+	for range 2 {
+		s.Admitted(now, &again)
+	}
+	d := s.Decide(now, &again, Times{Service: 50 * ms})
+	is.Equal(d.Reason, ReasonRetryBudget)
+	is.Equal(d.Limit, 0.0)
+	is.True(d.AtOnce)
 }
 
 // Guards against openings that give way to others while there is capacity for all.
--- a/coordination/steering/admission_test.go
+++ b/coordination/steering/admission_test.go
@@ -99,8 +99,9 @@
 		if a := w.caller(100+n, orders).open(0); a.Kind == Forward {
 			placed++
 		} else {
-			is.Equal(a.Kind, Drop)
+			is.Equal(a.Kind, Reset) // the objective of 250 ms leaves no time for another copy
 			is.Equal(a.Cause, CausePriority)
+			is.Equal(a.Run, verdict.NotRun)
 		}
 	}
 	is.True(placed < 10) // without the higher priority 12, up to a queue of 18
@@ -137,20 +138,21 @@
 	is.Equal(w.caller(4, feeds).open(lastCopy).Kind, Reset)
 }
 
-// Guards against callers that wait for their next copy although the request would be
-// late then: a refusal lets them try another host at once.
-func TestOpeningThatIsLateNextTimeIsRefusedAtOnce(t *testing.T) {
+// Guards against callers that wait for their next copy although their next attempt would
+// be late then: a refusal lets them try again at once.
+func TestOpeningWithoutTimeForAnotherCopyIsRefusedAtOnce(t *testing.T) {
 	is := is.New(t)
 	w := admitting(t)
 	w.learnTimes(60*time.Millisecond, feeds)
 	w.fill(6)
-	is.Equal(w.caller(1, feeds).open(0).Kind, Drop) // the next attempt reaches this host again
-	w.SetPeerLoads(&PeerLoads{Hosts: 20, Settled: true})
-	a := w.caller(2, feeds).open(0)
-	is.Equal(a.Kind, Reset)
-	is.Equal(a.Cause, CauseNoCapacity)
-	is.Equal(a.Run, verdict.NotRun)
-	is.Equal(w.caller(3, feeds).open(1).Kind, Drop) // it waits for its last copy
+	for n, hosts := range []int{1, 20} {
+		w.SetPeerLoads(&PeerLoads{Hosts: hosts, Settled: true})
+		a := w.caller(2*n, feeds).open(0)
+		is.Equal(a.Kind, Reset)
+		is.Equal(a.Cause, CauseNoCapacity)
+		is.Equal(a.Run, verdict.NotRun)
+		is.Equal(w.caller(2*n+1, feeds).open(1).Kind, Drop) // it is late and waits for a free slot
+	}
 }
 
 // Guards against callers of an evacuated zone whose retransmitted openings find no
