Grant no chance margin to callers over their fair share

Cause: a host with less than four slots of its own lets openings past its limit by what chance moves its requests. With 110 hosts and 120 slots the openings of one caller filled that margin at all hosts, and 26% of the others' attempts found no room.

Change: the margin is for openings that give way to nobody.

--- a/coordination/steering/admission.go
+++ b/coordination/steering/admission.go
@@ -70,7 +70,7 @@
 	}
 	ad.Decision = pl.demand.Decide(now, &ad.opening, times)
 	ad.ownZoneLimit, ad.otherZoneLimit = ad.Limit, ad.Limit
-	ad.ownZoneFull = pl.demand.Short(now) && load.full(ad.Limit + inNetwork(times))
+	ad.ownZoneFull = pl.demand.Short(now) && load.full(ad.Limit+inNetwork(times), ad.Reason != overload.ReasonFairShare)
 	if s.inLargeZone() && !allotted {
 		ad.spread = newSpread(load.perSlot, times.Service)
 		if ad.Limit > 0 && ad.Reason != overload.ReasonLate {
--- a/coordination/steering/poolload.go
+++ b/coordination/steering/poolload.go
@@ -7,9 +7,10 @@
 	// different from this host's own, in requests per slot: it is old.
 	maxReportedDeviation = 1.0
 	// minStableShare is the share of a pool's slots, in slots, from which a host's own
-	// requests vary little by chance. With a smaller share the limit is raised by
+	// requests vary little by chance. With a smaller share the limit may be raised by
 	// chanceDeviations times the increase of their standard deviation; otherwise hosts
-	// turn openings away while others have free slots.
+	// turn openings away while others have free slots. Callers over their fair share do
+	// not profit from it: they would fill what is left to others.
 	minStableShare   = 4.0
 	chanceDeviations = 2.5
 	// minShareSlots is the share of a pool's slots, in slots, from which a host's own
@@ -53,13 +54,13 @@
 
 // full reports whether the pool's load has reached a limit in requests per slot: by what
 // this host has now, corrected towards what all hosts reported. A host may always have
-// one request.
-func (l poolLoad) full(limit float64) bool {
+// one request. allowChance raises the limit where this host's share is small.
+func (l poolLoad) full(limit float64, allowChance bool) bool {
 	if l.own == 0 || l.ownShare == 0 {
 		return false
 	}
 	own := l.own / l.ownShare
-	if l.ownShare < minStableShare {
+	if allowChance && l.ownShare < minStableShare {
 		limit += chanceDeviations * (math.Sqrt(limit/l.ownShare) - math.Sqrt(limit/minStableShare))
 	}
 	return own+min(max(l.perSlot-own, -maxReportedDeviation), maxReportedDeviation)/2 >= limit
