--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -14,13 +14,14 @@
 // appends the output to a file and signals only processes that it started. Its
 // methods are safe for concurrent use.
 type Process struct {
-	binary string
 	args   []string
 	output string
 
-	mu   sync.Mutex
-	cmd  *exec.Cmd
-	done chan struct{}
+	mu sync.Mutex
+	// binary is the program that the next Start runs.
+	binary string
+	cmd    *exec.Cmd
+	done   chan struct{}
 	// stopRequested is set once SIGTERM or SIGKILL was sent to the process.
 	stopRequested bool
 	paused        bool
@@ -34,6 +35,13 @@
 	return &Process{binary: binary, args: args, output: output}
 }
 
+// SetBinary replaces the program that the next Start runs.
+func (p *Process) SetBinary(binary string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.binary = binary
+}
+
 // Start starts the program unless it is running.
 func (p *Process) Start() error {
 	p.mu.Lock()
