Share the callers, targets and reports of the replays

Three replays repeated the exchange of reports, the callers' retransmissions and the queue of a target.

--- a/coordination/steering/admissionreplay_test.go
+++ b/coordination/steering/admissionreplay_test.go
@@ -178,14 +178,7 @@
 	case Reset:
 		z.retryRequest(r)
 	case Drop:
-		switch copies {
-		case 0:
-			z.at(started+200*time.Millisecond, func() { z.sendOpening(r, c, host, started, 1) })
-		case 1:
-			z.at(started+600*time.Millisecond, func() { z.sendOpening(r, c, host, started, 2) })
-		default:
-			z.at(started+attemptTimeout, func() { z.retryRequest(r) })
-		}
+		z.afterDrop(started, copies, func() { z.sendOpening(r, c, host, started, copies+1) }, func() { z.retryRequest(r) })
 	}
 }
 
@@ -203,38 +196,22 @@
 		c.confirm()
 		c.sendRequest()
 	}
-	s := z.servers[key]
-	work := func() {
-		z.at(z.now+z.work(), func() {
-			s.busy--
-			if len(s.waiting) > 0 {
-				next := s.waiting[0]
-				s.waiting = s.waiting[1:]
-				s.busy++
-				next()
-			}
-			z.answer(c, host, func() {
-				if r.done == 0 {
-					r.done = z.now
-				}
-			})
-		})
-	}
-	switch {
-	case z.rejects != nil && z.rejects(key):
-		z.rejected++
-		z.answer(c, host, func() { z.retryRequest(r) })
-	case s.busy < s.slots:
-		s.busy++
-		work()
-	case len(s.waiting) < zoneQueue:
-		s.waiting = append(s.waiting, work)
-	default:
+	rejects := z.rejects != nil && z.rejects(key)
+	if rejects || !z.servers[key].serve(z.zoneReplay, z.work, func() { z.finish(r, c, host) }) {
 		z.rejected++
 		z.answer(c, host, func() { z.retryRequest(r) })
 	}
 }
 
+// finish lets the caller receive the answer to a request.
+func (z *loadReplay) finish(r *loadRequest, c *caller, host int) {
+	z.answer(c, host, func() {
+		if r.done == 0 {
+			r.done = z.now
+		}
+	})
+}
+
 // loadResult is the outcome of a class between two times.
 type loadResult struct {
 	requests, inTime, late, lost int
--- a/coordination/steering/crosszonereplay_test.go
+++ b/coordination/steering/crosszonereplay_test.go
@@ -166,45 +166,12 @@
 // exchange gives each host of a zone the loads of the last exchange, and lets the
 // reader send its summaries.
 func (f *fleetReplay) exchange(z *fleetZone) {
-	sum := map[Token]TargetLoad{}
-	for _, report := range z.reports {
-		addTo(sum, report, 1)
-	}
-	live := 0
-	for i := range z.hosts {
-		if !z.dead[i] {
-			live++
-		}
-	}
-	var reader *fixture
-	for i, w := range z.hosts {
-		if z.dead[i] {
-			continue
-		}
-		w.now = z.now
-		w.Tick(z.now, w.recordReset)
-		others := map[Token]TargetLoad{}
-		addTo(others, sum, 1)
-		if z.reports != nil {
-			addTo(others, z.reports[i], -1)
-		}
-		w.SetPeerLoads(&PeerLoads{Hosts: max(live, reportedHosts), Settled: true, Targets: others, Zones: z.digests.Zones(z.now), At: z.now})
-		if reader == nil {
-			reader = w
-		}
-	}
-	z.reports = make([]map[Token]TargetLoad, len(z.hosts))
-	for i, w := range z.hosts {
-		z.reports[i] = map[Token]TargetLoad{}
-		if z.dead[i] {
-			continue
-		}
-		for _, s := range w.TargetStats(z.now) {
-			z.reports[i][s.Token] = s.TargetLoad
-		}
-	}
+	z.shareReports(func(_ int, l *PeerLoads) {
+		l.Hosts, l.Zones, l.At = max(l.Hosts, reportedHosts), z.digests.Zones(z.now), z.now
+	})
+	reader := z.hosts[z.live()[0]]
 	z.at(z.now+reportInterval, func() { f.exchange(z) })
-	if reader != nil && !z.readerAway {
+	if !z.readerAway {
 		f.readerRound(z, reader)
 	}
 	if plans := reader.ServicePlans(); len(plans) > 0 && z.now > 4*time.Second && z.now < f.until {
--- a/coordination/steering/zonereplay_test.go
+++ b/coordination/steering/zonereplay_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/jujubehaven/jujubehaven/coordination/allotment"
 	"github.com/jujubehaven/jujubehaven/coordination/fleet"
+	"github.com/jujubehaven/jujubehaven/coordination/overload"
 	"github.com/jujubehaven/jujubehaven/protocol/packet"
 )
 
@@ -131,44 +132,52 @@
 
 // exchange gives each host the loads that the others had at the last exchange.
 func (z *zoneReplay) exchange() {
-	sum := map[Token]TargetLoad{}
-	for _, report := range z.reports {
-		addTo(sum, report, 1)
-	}
-	live := 0
-	for i := range z.hosts {
-		if !z.dead[i] {
-			live++
-		}
-	}
 	shares := make([]allotment.Share, len(z.hosts))
 	if z.share != nil {
 		shares = z.share()
 	}
-	for i, w := range z.hosts {
-		if z.dead[i] {
-			continue
-		}
+	z.shareReports(func(i int, l *PeerLoads) { l.Share = shares[i] })
+	z.at(z.now+reportInterval, z.exchange)
+}
+
+// shareReports lets each live host do its periodic work and gives it the reports of the
+// others at the last exchange, which complete adds to. Then it collects new reports.
+func (z *zoneReplay) shareReports(complete func(i int, l *PeerLoads)) {
+	sum := map[Token]TargetLoad{}
+	for _, report := range z.reports {
+		addTo(sum, report, 1)
+	}
+	live := z.live()
+	for _, i := range live {
+		w := z.hosts[i]
 		w.now = z.now
 		w.Tick(z.now, w.recordReset)
-		others := map[Token]TargetLoad{}
-		addTo(others, sum, 1)
+		l := &PeerLoads{Hosts: len(live), Settled: true, Targets: map[Token]TargetLoad{}}
+		addTo(l.Targets, sum, 1)
 		if z.reports != nil {
-			addTo(others, z.reports[i], -1)
+			addTo(l.Targets, z.reports[i], -1)
 		}
-		w.SetPeerLoads(&PeerLoads{Hosts: live, Settled: true, Targets: others, Share: shares[i]})
+		complete(i, l)
+		w.SetPeerLoads(l)
 	}
 	z.reports = make([]map[Token]TargetLoad, len(z.hosts))
-	for i, w := range z.hosts {
+	for _, i := range live {
 		z.reports[i] = map[Token]TargetLoad{}
-		if z.dead[i] {
-			continue
-		}
-		for _, s := range w.TargetStats(z.now) {
+		for _, s := range z.hosts[i].TargetStats(z.now) {
 			z.reports[i][s.Token] = s.TargetLoad
 		}
 	}
-	z.at(z.now+reportInterval, z.exchange)
+}
+
+// live returns the indexes of the hosts that are not dead.
+func (z *zoneReplay) live() []int {
+	var live []int
+	for i := range z.hosts {
+		if !z.dead[i] {
+			live = append(live, i)
+		}
+	}
+	return live
 }
 
 func addTo(sum, loads map[Token]TargetLoad, sign int) {
@@ -212,17 +221,20 @@
 	case Reset:
 		z.retry(r)
 	case Drop:
-		switch copies {
-		case 0:
-			z.at(started+200*time.Millisecond, func() { z.open(r, c, host, started, 1) })
-		case 1:
-			z.at(started+600*time.Millisecond, func() { z.open(r, c, host, started, 2) })
-		default:
-			z.at(started+attemptTimeout, func() { z.retry(r) })
-		}
+		z.afterDrop(started, copies, func() { z.open(r, c, host, started, copies+1) }, func() { z.retry(r) })
 	}
 }
 
+// afterDrop schedules what a caller does after a copy of an opening was dropped: the next
+// copy, or the end of the attempt.
+func (z *zoneReplay) afterDrop(started time.Duration, copies uint32, next, end func()) {
+	if copies == lastCopy {
+		z.at(started+attemptTimeout, end)
+		return
+	}
+	z.at(started+overload.Elapsed(copies+1), next)
+}
+
 func (z *zoneReplay) retry(r *zoneRequest) {
 	if r.attempts <= callerRetries {
 		z.at(z.now+10*time.Millisecond, func() { z.request(r) })
@@ -236,10 +248,30 @@
 		c.confirm()
 		c.sendRequest()
 	}
-	sent := z.now
-	work := func() {
-		wait := z.now - sent
-		z.at(z.now+z.workOf(c.p.Flow.Service, s), func() {
+	if s.failing {
+		r.errorSeen = true
+		z.answer(c, host, func() {})
+		return
+	}
+	arrived, wait := z.now, time.Duration(0)
+	served := s.serve(z, func() time.Duration {
+		wait = z.now - arrived
+		return z.workOf(c.p.Flow.Service, s)
+	}, func() {
+		r.wait = wait
+		z.answer(c, host, func() { r.done = z.now })
+	})
+	if !served {
+		z.rejected++
+		z.answer(c, host, func() { z.retry(r) })
+	}
+}
+
+// serve serves a request at once or after those that wait, and calls done at its end. It
+// reports false if the queue is full. work returns the service time at its beginning.
+func (s *zoneServer) serve(z *zoneReplay, work func() time.Duration, done func()) bool {
+	begin := func() {
+		z.at(z.now+work(), func() {
 			s.busy--
 			if len(s.waiting) > 0 {
 				next := s.waiting[0]
@@ -247,23 +279,19 @@
 				s.busy++
 				next()
 			}
-			r.wait = wait
-			z.answer(c, host, func() { r.done = z.now })
+			done()
 		})
 	}
 	switch {
-	case s.failing:
-		r.errorSeen = true
-		z.answer(c, host, func() {})
 	case s.busy < s.slots:
 		s.busy++
-		work()
+		begin()
 	case len(s.waiting) < zoneQueue:
-		s.waiting = append(s.waiting, work)
+		s.waiting = append(s.waiting, begin)
 	default:
-		z.rejected++
-		z.answer(c, host, func() { z.retry(r) })
+		return false
 	}
+	return true
 }
 
 // answer lets the caller acknowledge an answer and close the flow.
