Tell the build and the version of its messages

Operators could not see during an upgrade which hosts run which build: jujubehaven version names the version of the messages, and jujubehaven_token_build_info holds version, commit and messages.

--- a/cmd/jujubehaven/version.go
+++ b/cmd/jujubehaven/version.go
@@ -3,15 +3,17 @@
 import (
 	"context"
 	"fmt"
-	"runtime/debug"
 
 	"github.com/urfave/cli/v3"
+
+	"github.com/jujubehaven/jujubehaven/internal/buildinfo"
+	"github.com/jujubehaven/jujubehaven/protocol/gossip"
 )
 
 func versionCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "version",
-		Usage: "print the version and the Go release",
+		Usage: "print the version, the Go release and the version of the messages between hosts",
 		Action: func(_ context.Context, c *cli.Command) error {
 			_, err := fmt.Fprintln(c.Root().Writer, version())
 			return err
@@ -19,17 +21,8 @@
 	}
 }
 
-// version returns the module version, the commit and the Go release of the build.
+// version describes the build for operators.
 func version() string {
-	info, ok := debug.ReadBuildInfo()
-	if !ok {
-		return "jujubehaven, version unknown"
-	}
-	commit := "unknown"
-	for _, s := range info.Settings {
-		if s.Key == "vcs.revision" {
-			commit = s.Value
-		}
-	}
-	return fmt.Sprintf("jujubehaven %s, commit %s, %s", info.Main.Version, commit, info.GoVersion)
+	build := buildinfo.Read()
+	return fmt.Sprintf("jujubehaven %s, commit %s, %s, messages %d", build.Version, build.Commit, build.Go, gossip.Protocol)
 }
--- a/internal/tokenhost/metrics.go
+++ b/internal/tokenhost/metrics.go
@@ -8,6 +8,8 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/jujubehaven/jujubehaven/coordination/steering"
+	"github.com/jujubehaven/jujubehaven/internal/buildinfo"
+	"github.com/jujubehaven/jujubehaven/protocol/gossip"
 )
 
 // metricPrefix is the name prefix of all metrics of a host that steers by token.
@@ -19,8 +21,10 @@
 
 // collector exports the metrics of a host.
 type collector struct {
-	host *Host
+	host      *Host
+	buildInfo buildinfo.Info
 
+	build                                             *prometheus.Desc
 	received, undecodable, decisions, sendErrors      *prometheus.Desc
 	waited                                            *prometheus.Desc
 	repeatedOpenings, repeatedData, silenced, flows   *prometheus.Desc
@@ -43,6 +47,8 @@
 func newCollector(h *Host) *collector {
 	return &collector{
 		host:             h,
+		buildInfo:        buildinfo.Read(),
+		build:            newDesc("build_info", "1, with the build that runs and the version of the messages that it exchanges.", "version", "commit", "messages"),
 		received:         newDesc("received_packets_total", "Datagrams read from the data socket."),
 		waited:           newDesc("waited_packets_total", "Packets that waited for the host's first view."),
 		undecodable:      newDesc("undecodable_packets_total", "Datagrams that are no packet of a caller."),
@@ -86,7 +92,7 @@
 
 func (c *collector) descs() []*prometheus.Desc {
 	return []*prometheus.Desc{
-		c.received, c.waited, c.undecodable, c.decisions, c.sendErrors, c.repeatedOpenings, c.repeatedData, c.silenced, c.flows,
+		c.build, c.received, c.waited, c.undecodable, c.decisions, c.sendErrors, c.repeatedOpenings, c.repeatedData, c.silenced, c.flows,
 		c.targetFlows, c.targetRequests, c.targetSilent, c.unreachableZones, c.zoneSpareSlots, c.zoneShareAway, c.storeCalls, c.storeFailures, c.viewAge, c.feeds,
 		c.storeEpoch, c.storeRestores, c.keptEntries, c.serviceTime, c.slowTargets, c.rejectedOpenings,
 		c.configVersion, c.rejectedEntries, c.ready, c.gossipSent, c.gossipSentBytes, c.gossipReceived, c.zoneHosts,
@@ -115,6 +121,7 @@
 // Collect implements prometheus.Collector.
 func (c *collector) Collect(ch chan<- prometheus.Metric) {
 	out := metricWriter{ch}
+	out.gauge(c.build, 1, c.buildInfo.Version, c.buildInfo.Commit, strconv.Itoa(gossip.Protocol))
 	c.collectPackets(out)
 	c.collectCapacity(out)
 	c.collectStore(out)
