--- a/coordination/steering/sample.go
+++ b/coordination/steering/sample.go
@@ -1,15 +1,15 @@
 package steering
 
-// Placement in a large zone. The load pattern: many callers open flows within the
+// Placement in a large zone without admission. The load pattern: many callers open flows within the
 // time between two reports of the hosts' loads, for example after a zone has
 // failed. All hosts of the zone know the same loads, so if each of them selected
 // the least loaded target, all would select the same one. Each flow therefore has
 // a few targets to choose from, by its hash: the power of two random choices.
 
 const (
-	// maxComparingHosts is the largest number of hosts in a zone whose hosts
-	// compare all targets. A host of a small zone places enough flows itself for
-	// its view to be up to date.
+	// maxComparingHosts is the largest number of hosts in a zone that is not a large
+	// one. Without admission its hosts compare all targets: each places enough flows
+	// itself for its view to be up to date.
 	maxComparingHosts = 8
 	// freeSlotCost is the cost below which a target of the own zone answers and
 	// has a free slot.
