--- a/coordination/changes/restore_test.go
+++ b/coordination/changes/restore_test.go
@@ -52,17 +52,24 @@
 	return len(s.Entries)
 }
 
-// Guards against overwriting another operator's document whose revision was given
-// out before for the one that this change was made from.
-func TestReissuedRevisionOfADocumentConflicts(t *testing.T) {
-	f := newFixture(t)
+// planAgainstAnotherOperator returns a change of a document that was written after the
+// copy of the store, and the text that another operator writes in its place.
+func (f *fixture) planAgainstAnotherOperator() (w *Writer, plan Plan, theirs []byte) {
 	f.mustApply(ordersText, "")
 	f.markCopy()
 	f.mustApply(f.edit(ordersKey, "2000", "1500"), "")
-	w := f.writer(3)
+	w = f.writer(3)
 	plan, err := w.Plan(f.ctx, f.request(f.edit(ordersKey, "1500", "1000"), ""))
 	f.NoErr(err)
-	theirs := []byte(strings.NewReplacer("1500", "500", "c-3", "c-other").Replace(string(f.stored(ordersKey).Text)))
+	theirs = []byte(strings.NewReplacer("1500", "500", "c-3", "c-other").Replace(string(f.stored(ordersKey).Text)))
+	return w, plan, theirs
+}
+
+// Guards against overwriting another operator's document whose revision was given
+// out before for the one that this change was made from.
+func TestReissuedRevisionOfADocumentConflicts(t *testing.T) {
+	f := newFixture(t)
+	w, plan, theirs := f.planAgainstAnotherOperator()
 	f.beforeWrite(func() { f.reissue(store.DocumentKey(ordersKey), theirs, plan.Base.Revision) })
 	var conflict *ConflictError
 	f.True(errors.As(w.Write(f.ctx, plan), &conflict))
@@ -75,13 +82,7 @@
 // Guards against the same failure if the restore is between the plan and the write.
 func TestRevisionReissuedBeforeTheWriteBeginsConflicts(t *testing.T) {
 	f := newFixture(t)
-	f.mustApply(ordersText, "")
-	f.markCopy()
-	f.mustApply(f.edit(ordersKey, "2000", "1500"), "")
-	w := f.writer(3)
-	plan, err := w.Plan(f.ctx, f.request(f.edit(ordersKey, "1500", "1000"), ""))
-	f.NoErr(err)
-	theirs := []byte(strings.NewReplacer("1500", "500", "c-3", "c-other").Replace(string(f.stored(ordersKey).Text)))
+	w, plan, theirs := f.planAgainstAnotherOperator()
 	f.reissue(store.DocumentKey(ordersKey), theirs, plan.Base.Revision)
 	var conflict *ConflictError
 	f.True(errors.As(w.Write(f.ctx, plan), &conflict))
