--- a/internal/ci/main.go
+++ b/internal/ci/main.go
@@ -20,6 +20,10 @@
 	exitUsage  = 2
 )
 
+// packageTimeout is the longest time for the tests of one package. With the race detector
+// the replays of coordination/steering take several minutes on a busy machine.
+const packageTimeout = "30m"
+
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
@@ -54,7 +58,7 @@
 // failing test is part of the results; the error means that the tests could not be
 // run or their output not be read.
 func runTests(ctx context.Context, args []string, stderr io.Writer) (*results, error) {
-	cmd := exec.CommandContext(ctx, "go", append([]string{"test", "-json"}, args...)...)
+	cmd := exec.CommandContext(ctx, "go", append([]string{"test", "-json", "-timeout", packageTimeout}, args...)...)
 	cmd.Stderr = stderr
 	out, err := cmd.StdoutPipe()
 	if err != nil {
