Show resets of open flows at a target that started again under its ID

Cause: a packet whose token names a target that is gone is reset at once. Hosts of different zones read the store up to 0.9 s apart, so a flow that moves to another zone's host may meet one that has read that the former incarnation left, but not the entry of the next one, which has the same token.

Nothing is fixed.

--- a/review/standin/backend.go
+++ b/review/standin/backend.go
@@ -36,6 +36,7 @@
 	service string
 	zone    string
 	conn    *net.UDPConn
+	addr    netip.AddrPort
 	born    int64
 	stop    chan struct{}
 
@@ -64,14 +65,19 @@
 	closing   bool
 }
 
+// newBackend starts a back end under a new ID.
 func newBackend(w *world, addr netip.AddrPort, service, zone string) (*backend, error) {
+	return startBackend(w, addr, uint64(rand.Uint32())|1<<31, service, zone)
+}
+
+// startBackend starts a back end under the ID with a number.
+func startBackend(w *world, addr netip.AddrPort, number uint64, service, zone string) (*backend, error) {
 	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(addr))
 	if err != nil {
 		return nil, err
 	}
-	number := uint64(rand.Uint32()) | 1<<31
 	b := &backend{
-		w: w, id: fmt.Sprintf("i-%x", number), number: number, service: service, zone: zone, conn: conn,
+		w: w, id: fmt.Sprintf("i-%x", number), number: number, service: service, zone: zone, conn: conn, addr: addr,
 		born: time.Now().UnixMilli(), stop: make(chan struct{}), flows: map[ends]*backendFlow{}, openings: map[ends]time.Time{},
 	}
 	b.beat()
@@ -89,7 +95,9 @@
 		case <-b.stop:
 			return
 		case <-ticker.C:
-			b.beat()
+			if b.w.reachesStore(b.zone) {
+				b.beat()
+			}
 		}
 	}
 }
@@ -103,7 +111,7 @@
 		state = "draining"
 	}
 	entry := map[string]any{
-		"service": b.service, "address": b.conn.LocalAddr().String(), "zone": b.zone, "version": "v1", "slots": slots,
+		"service": b.service, "address": b.addr.String(), "zone": b.zone, "version": "v1", "slots": slots,
 		"state": state, "warmup_left_ms": 0, "seq": b.seq, "born": b.born,
 	}
 	b.mu.Unlock()
@@ -137,14 +145,21 @@
 	return lost
 }
 
+// lives reports whether the back end has not ended.
+func (b *backend) lives() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !b.ended
+}
+
 func (b *backend) serve() {
 	buf := make([]byte, maxPacket)
 	for {
-		n, err := b.conn.Read(buf)
+		n, from, err := b.conn.ReadFromUDPAddrPort(buf)
 		if err != nil {
 			return // closed
 		}
-		if n < idLen {
+		if n < idLen || b.w.isCut(from.Addr(), b.zone) {
 			continue
 		}
 		if to := binary.BigEndian.Uint64(buf); to != 0 && to != b.number {
--- a/review/standin/config.go
+++ b/review/standin/config.go
@@ -21,8 +21,8 @@
 	service string
 }
 
-// serviceAddr is the address of the routes that clients use.
-const serviceAddr = "198.18.0.1"
+// serviceAddr is the address of the routes that clients use; it stands in packets only.
+const serviceAddr = "127.198.0.1"
 
 // addRoute adds a route and returns its address.
 func (o *operator) addRoute(port int, service string) netip.AddrPort {
@@ -35,7 +35,7 @@
 func (o *operator) addIdle(n int, service string) {
 	for range n {
 		i := len(o.routes)
-		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 19, byte(i >> 8), byte(i)}), 8443)
+		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 199, byte(i >> 8), byte(i)}), 8443)
 		o.routes = append(o.routes, route{fmt.Sprintf("r-%07x", 0x9e3779b*(i+1)&0xfffffff), addr, service})
 	}
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -21,6 +21,8 @@
 	"config-storm": configStorm,
 	"new-route":    newRoute,
 	"long-watch":   longWatch,
+	"zone-cut":     zoneCut,
+	"same-id":      sameKey,
 }
 
 func main() {
--- a/review/standin/newroute.go
+++ b/review/standin/newroute.go
@@ -25,8 +25,8 @@
 	maxPause = 900 * time.Millisecond
 )
 
-// brokenFlow is a flow that the system reset while its back end lived.
-type brokenFlow struct{ text string }
+// routeAddr is the address of a route.
+type routeAddr = netip.AddrPort
 
 // newRoute stops and starts the hosts of single-host zones in turn and adds a route
 // with each stop. FLOW is broken if an open flow on an added route gets a reset of the
@@ -52,9 +52,7 @@
 		return exitNotRun, err
 	}
 	time.Sleep(4 * time.Second)
-	var mu sync.Mutex
-	var broken []brokenFlow
-	var flows, requests tally
+	u := &routeUse{w: w}
 	for i := range rolls {
 		h := w.hosts[i%len(w.hosts)]
 		c := w.clients[h.zone]
@@ -70,42 +68,48 @@
 		ack := op.write(orders)
 		var wg sync.WaitGroup
 		for range flowsPerRoll {
-			wg.Go(func() { useRoute(w, c, addr, ack, &mu, &broken, &flows, &requests) })
+			wg.Go(func() { u.use(c, addr, ack) })
 		}
 		wg.Wait()
 		if trouble {
 			<-ended
-			if err := h.start(); err != nil {
+			if err := h.startAgain(); err != nil {
 				return exitNotRun, err
 			}
-			for end := time.Now().Add(startTime); !h.inRotation(); time.Sleep(50 * time.Millisecond) {
-				if time.Now().After(end) {
-					return exitNotRun, fmt.Errorf("%s did not become ready again", h.name)
-				}
-			}
 		}
 		time.Sleep(300*time.Millisecond + rand.N(maxPause))
 	}
-	for _, b := range broken {
-		w.rec.sayf("%s", b.text)
+	for _, b := range u.broken {
+		w.rec.sayf("%s", b)
 	}
-	w.rec.sayf("open flows on added routes %d, requests answered on them %d", flows.value(), requests.value())
-	w.rec.sayf("FLOW: %d open flows reset by the system", len(broken))
-	if flows.value() == 0 {
+	w.rec.sayf("open flows on added routes %d, requests answered on them %d", u.flows.value(), u.requests.value())
+	w.rec.sayf("FLOW: %d open flows reset by the system", len(u.broken))
+	if u.flows.value() == 0 {
 		return exitNotRun, errNoService
 	}
-	if len(broken) > 0 {
+	if len(u.broken) > 0 {
 		return exitBroken, nil
 	}
 	return exitHeld, nil
 }
 
-// useRoute opens a flow on an added route, as soon as a host takes it, and sends
-// requests on it for useTime.
-func useRoute(w *world, c *clients, addr netip.AddrPort, ack time.Time, mu *sync.Mutex, broken *[]brokenFlow, flows, requests *tally) {
+// routeUse is what clients did on a route.
+type routeUse struct {
+	w               *world
+	flows, requests tally
+
+	mu sync.Mutex
+	// broken describes the open flows that the system reset.
+	broken []string
+}
+
+// use opens a flow, as soon as a host takes it, and sends requests on it for useTime.
+// since is the time that reports of resets count from.
+func (u *routeUse) use(c *clients, addr routeAddr, since time.Time) {
+	w := u.w
 	var f *clientFlow
 	opened := false
-	for time.Since(ack) < useTime && !opened {
+	for time.Since(since) < useTime && !opened {
 		f = c.newFlow(addr)
 		o := f.openFlow()
 		w.rec.logf("flow %s to %s via %s: %v", f.key.client, addr, f.via, o)
@@ -118,23 +122,23 @@
 		return
 	}
 	defer f.finish()
-	flows.add()
+	u.flows.add()
 	first := f.via
-	for end := time.Now().Add(useTime); time.Now().Before(end); time.Sleep(pause) {
+	for end := time.Now().Add(useTime); time.Now().Before(end) && !f.closing; time.Sleep(pause) {
 		id := w.nextID.Add(1)
 		o := f.request(id)
 		w.rec.logf("request %d on flow %s to %s via %s: %v", id, f.key.client, addr, f.via, o)
 		b := w.openedAt(f.key)
 		switch {
 		case o == answered:
-			requests.add()
+			u.requests.add()
 			continue
-		case o == systemReset && b != nil:
-			mu.Lock()
-			*broken = append(*broken, brokenFlow{fmt.Sprintf(
-				"flow %s to %s, open at %s through %s, got a reset of the system %.3f s after the configuration was acknowledged; its packets went to %s (in zone %s)",
-				f.key.client, addr, b.id, first, time.Since(ack).Seconds(), f.via, zoneOf(w, f.via))})
-			mu.Unlock()
+		case o == systemReset && b != nil && b.lives():
+			u.mu.Lock()
+			u.broken = append(u.broken, fmt.Sprintf(
+				"flow %s to %s, open at %s through %s, got a reset of the system %.3f s after the change; its packets went to %s in zone %s",
+				f.key.client, addr, b.id, first, time.Since(since).Seconds(), f.via, zoneOf(w, f.via)))
+			u.mu.Unlock()
 		}
 		return
 	}
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -63,6 +63,7 @@
 	mux.HandleFunc("GET /jujubehaven/kv-watch", s.serveWatch)
 	s.server = &http.Server{Handler: mux}
 	go func() { _ = s.server.Serve(listener) }()
+	go s.expire()
 	return s, nil
 }
 
@@ -79,6 +80,23 @@
 	return s.write(item{Key: key, Value: b})
 }
 
+// expire removes the entries of back ends after three heartbeat intervals of silence.
+func (s *store) expire() {
+	for range time.Tick(100 * time.Millisecond) {
+		var silent []string
+		s.mu.Lock()
+		for key, it := range s.items {
+			if strings.HasPrefix(key, "servers/") && time.Since(it.at) > 3*heartbeat {
+				silent = append(silent, key)
+			}
+		}
+		s.mu.Unlock()
+		for _, key := range silent {
+			s.remove(key)
+		}
+	}
+}
+
 // remove removes a key.
 func (s *store) remove(key string) time.Time { return s.write(item{Key: key, Deleted: true}) }
 
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -34,6 +34,8 @@
 	dataPort uint16
 	adminAt  int
 	gossipAt int
+	// apart is set if the hosts of different zones do not know each other.
+	apart    bool
 	store    *store
 	routers  *routers
 	hosts    []*host
@@ -46,6 +48,8 @@
 	// ran it.
 	opened map[ends]*backend
 	ran    map[uint64][]string
+	// cutZone is the zone that is cut off, empty if none is.
+	cutZone string
 }
 
 func newWorld(balancer, temp string, rec *record) (*world, error) {
@@ -70,6 +74,7 @@
 func (w *world) close() {
 	for _, h := range w.hosts {
 		h.kill()
+		h.link.close()
 	}
 	for _, b := range w.backends {
 		_ = b.conn.Close()
@@ -108,6 +113,16 @@
 		i := len(w.hosts) + 1
 		h := &host{w: w, name: fmt.Sprintf("edge-%s-%d", zone, i), zone: zone, data: w.addr(i, int(w.dataPort)), admin: w.addr(i, w.adminAt)}
 		h.settings = filepath.Join(w.temp, h.name+".yaml")
+		link, err := newProxy(w.store.addr())
+		if err != nil {
+			return err
+		}
+		h.link = link
+		const deadHost = 250
+		seeds := [2]int{1, 2}
+		if w.apart {
+			seeds = [2]int{deadHost, deadHost + 1}
+		}
 		text := fmt.Sprintf(`steering: token
 host: %s
 zone: %s
@@ -121,7 +136,7 @@
 platform: "http://%s"
 limits:
   leave: 2s
-`, h.name, zone, h.data, h.admin, w.addr(i, w.gossipAt+1), w.addr(i, w.gossipAt), w.addr(1, w.gossipAt), w.addr(2, w.gossipAt), w.store.addr())
+`, h.name, zone, h.data, h.admin, w.addr(i, w.gossipAt+1), w.addr(i, w.gossipAt), w.addr(seeds[0], w.gossipAt), w.addr(seeds[1], w.gossipAt), link.addr())
 		if err := os.WriteFile(h.settings, []byte(text), 0o600); err != nil {
 			return err
 		}
@@ -169,6 +184,44 @@
 	return errors.New("the hosts did not become ready")
 }
 
+// setCut cuts a zone off from the other zones and from the store, or ends the cut.
+// Clients still reach it.
+func (w *world) setCut(zone string, cut bool) {
+	w.mu.Lock()
+	w.cutZone = ""
+	if cut {
+		w.cutZone = zone
+	}
+	w.mu.Unlock()
+	for _, h := range w.hosts {
+		if h.zone == zone {
+			h.link.setCut(cut)
+		}
+	}
+}
+
+// isCut reports whether packets between a host's address and a zone are lost.
+func (w *world) isCut(from netip.Addr, zone string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.cutZone == "" {
+		return false
+	}
+	for _, h := range w.hosts {
+		if h.data.Addr() == from {
+			return (h.zone == w.cutZone) != (zone == w.cutZone)
+		}
+	}
+	return false
+}
+
+// reachesStore reports whether the back ends of a zone reach the store.
+func (w *world) reachesStore(zone string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.cutZone != zone
+}
+
 // printHostLogs prints the last output of the hosts.
 func (w *world) printHostLogs() {
 	const tail = 2000
@@ -186,6 +239,8 @@
 	data     netip.AddrPort
 	admin    netip.AddrPort
 	settings string
+	// link carries the host's connections to the store.
+	link *proxy
 
 	mu     sync.Mutex
 	cmd    *exec.Cmd
