Reset open flows without a known route only after reading the store

What callers saw: a route is added while a host is being stopped.

Cause: hosts read the store independently, up to 0.9 s apart, and a packet of an open flow to an address without a route was taken as proof that there is none.

Change: such a packet is dropped and the store is read at once, also by the zone's reader, whose wait for the next poll is interrupted. The flow is reset once the host has read all that was written before it first saw the flow, from the periodic work, so its caller doesn't wait for its deadline where the route is truly absent. The same rule now serves unknown tokens, by flow: a later flow with the same token took over the time of an earlier one. What has been read is fetched before the view that it is about, by a call that doesn't block.

TestConfigurationsAndOpenFlows now says that the host has read up to the drop; TestManyUnknownTokens uses as many flows as tokens, since flows are recorded.

--- /dev/null
+++ b/coordination/steering/absence.go
@@ -0,0 +1,118 @@
+package steering
+
+import (
+	"time"
+
+	"github.com/jujubehaven/jujubehaven/protocol/packet"
+	"github.com/jujubehaven/jujubehaven/protocol/verdict"
+)
+
+// Packets of open flows whose route or target this host does not know. Hosts read
+// the store independently, so another host may have opened the flow by a change that
+// this one has not read yet. The route and the target were written before the flow
+// opened, so they are absent for certain once this host has read everything that was
+// written before it first saw the flow. Until then the packets are dropped and the
+// store is read; their callers retransmit them. After that the flow is reset, without
+// waiting for its next packet.
+
+const (
+	// maxAbsentFlows bounds the flows without a known destination that are recorded.
+	maxAbsentFlows = 1000
+	// absentRetention is how long such a flow is kept after its last packet: longer
+	// than the longest interval between a caller's retransmissions.
+	absentRetention = 5 * time.Second
+)
+
+// absentFlow is an open flow whose route or target this host does not know.
+type absentFlow struct {
+	// firstSeen and lastSeen are when the first and the last of its packets arrived.
+	firstSeen, lastSeen time.Duration
+	token               Token
+	ack                 uint32
+}
+
+// handleAbsent decides about a packet of an open flow whose destination is absent
+// from this host's view: its route or, by its token, its target.
+func (s *Steering) handleAbsent(now time.Duration, p *Segment, a *Action, cause Cause) {
+	a.Cause = cause
+	if p.Class == packet.Reset {
+		return
+	}
+	f := s.absent[p.Flow]
+	if f == nil || f.token != p.Token {
+		f = s.recordAbsent(now, p)
+	}
+	f.lastSeen, f.ack = now, p.Ack
+	switch {
+	case f.firstSeen == now:
+		s.refresh()
+	case s.hasReadUpTo(f.firstSeen):
+		s.refuse(p, a, cause, verdict.MayHaveRun)
+		delete(s.absent, p.Flow)
+	}
+}
+
+// recordAbsent records when a packet of a flow without a known destination was first
+// seen.
+func (s *Steering) recordAbsent(now time.Duration, p *Segment) *absentFlow {
+	if len(s.absent) >= maxAbsentFlows {
+		clear(s.absent) // flows still in use are recorded again by their next packet
+	}
+	f := &absentFlow{firstSeen: now, token: p.Token}
+	if known := s.flows[p.Flow]; known != nil && known.open && !known.closed {
+		f.firstSeen = known.openSince
+	}
+	s.absent[p.Flow] = f
+	return f
+}
+
+// refresh starts a read of the store.
+func (s *Steering) refresh() {
+	if s.cfg.Refresh != nil {
+		s.cfg.Refresh()
+	}
+}
+
+// hasReadUpTo reports whether this host has read everything that was written to the
+// store until a time.
+func (s *Steering) hasReadUpTo(at time.Duration) bool {
+	if s.cfg.CompleteTo == nil {
+		return false
+	}
+	complete, ok := s.cfg.CompleteTo()
+	return ok && complete > at
+}
+
+// resolveAbsent resets the flows whose destination is absent for certain, and forgets
+// those whose destination is known by now or that have sent nothing for a while.
+func (s *Steering) resolveAbsent(now time.Duration, reset func(*Segment, *Action)) {
+	for key, f := range s.absent {
+		cause, absent := s.destinationAbsent(key, f.token)
+		switch {
+		case !absent || now >= f.lastSeen+absentRetention:
+			delete(s.absent, key)
+		case s.hasReadUpTo(f.firstSeen):
+			s.counts.Resets[cause]++
+			reset(
+				&Segment{Flow: key, Class: packet.Data, Token: f.token, Ack: f.ack},
+				&Action{Kind: Reset, Cause: cause, Run: verdict.MayHaveRun},
+			)
+			delete(s.absent, key)
+			s.removeFlow(key)
+		default:
+			s.refresh()
+		}
+	}
+}
+
+// destinationAbsent reports whether this host knows no destination for a flow, and
+// whether its route or its target is what is absent.
+func (s *Steering) destinationAbsent(key packet.Flow, token Token) (Cause, bool) {
+	switch {
+	case s.routes[key.Service] == nil:
+		return CauseNoRoute, true
+	case s.tokens[token] == nil:
+		return CauseUnknownToken, true
+	}
+	return CauseKnown, false
+}
--- a/coordination/steering/explain_test.go
+++ b/coordination/steering/explain_test.go
@@ -102,7 +102,7 @@
 	for key, f := range s.flows {
 		flows[key] = fmt.Sprint(f.target.entry.Key, f.placedAt, f.lastSeen, f.busy, f.opening, f.open, f.closed)
 	}
-	return s.counts, targets, flows, len(s.unknown)
+	return s.counts, targets, flows, len(s.absent)
 }
 
 // Explanations must not change counts, the rate of cold targets, flows, the state of
--- a/coordination/steering/flows.go
+++ b/coordination/steering/flows.go
@@ -51,9 +51,11 @@
 	foundFreeSlot bool
 	// awaiting is set while data that this host forwarded is unanswered.
 	awaiting bool
-	// open is set once the caller has completed the handshake.
-	open   bool
-	closed bool
+	// open is set once the caller has completed the handshake, openSince is when this
+	// host first saw that.
+	open      bool
+	openSince time.Duration
+	closed    bool
 	// countedOpen is set while the flow counts as open at its target.
 	countedOpen bool
 	// opening is set until the caller sends data.
@@ -67,6 +69,9 @@
 // seqAfter reports whether sequence number a is after b (RFC 9293, 3.4).
 func seqAfter(a, b uint32) bool { return int32(a-b) > 0 }
 
+// setOpen records that the caller has completed the handshake.
+func (f *flow) setOpen(now time.Duration) { f.open, f.openSince = true, now }
+
 // ensureFlow returns the state of a flow and creates it if there is none.
 func (s *Steering) ensureFlow(key packet.Flow) *flow {
 	f := s.flows[key]
--- a/coordination/steering/observe.go
+++ b/coordination/steering/observe.go
@@ -36,7 +36,7 @@
 	f.lastSeen = now
 	s.setCountedOpen(f, !f.closed)
 	if !f.open {
-		f.open = true
+		f.setOpen(now)
 		f.ack = p.Ack
 		a.HandshakeTime = now - f.placedAt
 		r.answerTimes.addHandshake(a.HandshakeTime)
--- a/coordination/steering/openings.go
+++ b/coordination/steering/openings.go
@@ -13,7 +13,7 @@
 	f := s.flows[p.Flow]
 	if f != nil && f.target != nil && s.keepsTarget(now, p, f) {
 		f.lastSeen = now
-		s.forward(now, f.target, a, CauseKnown)
+		s.forward(now, p, f.target, a, CauseKnown)
 		return
 	}
 	var former *target
@@ -40,7 +40,7 @@
 	s.setOpening(f, true)
 	t.health.recordAttempt(now)
 	a.Placed = true
-	s.forward(now, t, a, cause)
+	s.forward(now, p, t, a, cause)
 }
 
 // rejectOpening drops an opening that gets no target now but may get one when the
--- a/coordination/steering/steering.go
+++ b/coordination/steering/steering.go
@@ -15,9 +15,6 @@
 // some.
 const maxInFlight = 16 * 1200
 
-// maxUnknownTokens bounds the unknown tokens that are recorded.
-const maxUnknownTokens = 1000
-
 // Config holds the settings of a Steering.
 type Config struct {
 	// Zone is the availability zone of this host.
@@ -31,8 +28,8 @@
 	// ShareEvents is called when the share of a service's flows that is sent to other
 	// zones has changed; it may be nil.
 	ShareEvents func(ShareEvent)
-	// CompleteTo returns the time up to which this host has read every target
-	// that was written to the store, and false if that is unknown. It may be nil.
+	// CompleteTo returns a time up to which the view holds everything that was
+	// written to the store, and false if that is unknown. It may be nil.
 	CompleteTo func() (time.Duration, bool)
 	// Refresh starts a read of the store without waiting for it; it may be nil.
 	Refresh func()
@@ -80,10 +77,9 @@
 	lastSweep time.Duration
 	// queueLimit is the function queueLimit; tests replace it.
 	queueLimit func(copies uint32) float64
-	// unknown holds the time when each token that matches no target was first
-	// seen.
-	unknown map[Token]time.Duration
-	counts  Counts
+	// absent holds the open flows whose route or target this host does not know.
+	absent map[packet.Flow]*absentFlow
+	counts Counts
 	// borrowed counts the openings that used slots of other hosts, by service.
 	borrowed map[string]uint64
 	// peerLoads is the last report of the other hosts' loads, nil if there was
@@ -117,7 +113,7 @@
 		tokens:     map[Token]*target{},
 		paths:      map[string]*zonePath{},
 		flows:      map[packet.Flow]*flow{},
-		unknown:    map[Token]time.Duration{},
+		absent:     map[packet.Flow]*absentFlow{},
 		borrowed:   map[string]uint64{},
 		cross:      crossZone{shares: crosszone.NewShares(cfg.Zone)},
 	}
@@ -130,9 +126,9 @@
 func (s *Steering) NumFlows() int { return len(s.flows) }
 
 // Tick does the periodic work: it expires flows, the presumption that recovered
-// targets are cold and verdicts about zones, and gives up flows of dead targets.
-// It calls reset for each of these with a segment of the flow, whose caller gets
-// a reset. now is on the same clock as in all other calls.
+// targets are cold and verdicts about zones, and gives up flows of dead and of absent
+// targets and routes. It calls reset for each of these with a segment of the flow,
+// whose caller gets a reset. now is on the same clock as in all other calls.
 func (s *Steering) Tick(now time.Duration, reset func(*Segment, *Action)) {
 	if s.view == nil || now < s.lastSweep+sweepInterval {
 		return
@@ -141,6 +137,7 @@
 	s.sweep(now)
 	s.confirmSilences(now)
 	s.resetDeadFlows(now, reset)
+	s.resolveAbsent(now, reset)
 	s.endPresumedCold(now)
 	s.updatePools(now)
 	s.expireUnreachable(now)
@@ -170,18 +167,16 @@
 		a.Cause = CauseForged
 		return
 	}
-	if r == nil {
-		s.refuse(p, a, CauseNoRoute, verdict.MayHaveRun)
-		if p.Class == packet.Opening {
-			a.Run = verdict.NotRun
-		}
-		return
-	}
-	if p.Class == packet.Opening {
+	switch {
+	case r == nil && p.Class == packet.Opening:
+		s.refuse(p, a, CauseNoRoute, verdict.NotRun)
+	case r == nil:
+		s.handleAbsent(now, p, a, CauseNoRoute)
+	case p.Class == packet.Opening:
 		s.handleOpening(now, p, r, a)
-		return
+	default:
+		s.handleOpenFlow(now, p, r, a)
 	}
-	s.handleOpenFlow(now, p, r, a)
 }
 
 // fromService reports whether a packet has the address of a service as its
@@ -209,7 +204,10 @@
 		t = f.target
 	}
 	if t == nil {
-		s.handleUnknownToken(now, p, a)
+		a.Cause = CauseUnknownToken
+		if p.Token != 0 {
+			s.handleAbsent(now, p, a, CauseUnknownToken)
+		}
 		return
 	}
 	if t.entry.Gone && !s.answeredSinceGone(t) {
@@ -221,7 +219,7 @@
 	if f == nil {
 		f = s.ensureFlow(p.Flow)
 		f.nextSeq, f.baseSeq, f.ack = p.Seq, p.Seq, p.Ack
-		f.open = true
+		f.setOpen(now)
 	}
 	sameTarget := f.target == t
 	s.attach(f, t)
@@ -232,40 +230,12 @@
 		return
 	}
 	if !sameTarget && !f.open {
-		f.open, f.ack = true, p.Ack // another host's opening reached this target
+		f.setOpen(now)
+		f.ack = p.Ack // another host's opening reached this target
 	}
 	s.observe(now, p, r, f, a)
 	s.observeAdmission(r, f, a)
-	s.forward(now, t, a, CauseKnown)
-}
-
-// handleUnknownToken decides about a packet whose token matches no target. The
-// flow's target was written to the store before the packet arrived; once this
-// host has read everything written until then, the target is gone.
-func (s *Steering) handleUnknownToken(now time.Duration, p *Segment, a *Action) {
-	a.Cause = CauseUnknownToken
-	if p.Token == 0 || s.cfg.CompleteTo == nil {
-		return
-	}
-	firstSeen, known := s.unknown[p.Token]
-	if !known {
-		s.recordUnknownToken(now, p.Token)
-		return
-	}
-	if complete, ok := s.cfg.CompleteTo(); ok && complete > firstSeen {
-		s.refuse(p, a, CauseUnknownToken, verdict.MayHaveRun)
-	}
-}
-
-// recordUnknownToken records when an unknown token was first seen.
-func (s *Steering) recordUnknownToken(now time.Duration, token Token) {
-	if len(s.unknown) >= maxUnknownTokens {
-		clear(s.unknown) // tokens still in use are recorded again by their next packet
-	}
-	s.unknown[token] = now
-	if s.cfg.Refresh != nil {
-		s.cfg.Refresh()
-	}
+	s.forward(now, p, t, a, CauseKnown)
 }
 
 // removeFlow removes a flow from the flow table and from its target's counts.
@@ -276,9 +246,12 @@
 	}
 }
 
-func (s *Steering) forward(now time.Duration, t *target, a *Action, cause Cause) {
+func (s *Steering) forward(now time.Duration, p *Segment, t *target, a *Action, cause Cause) {
 	a.Kind = Forward
 	a.Cause = cause
+	if len(s.absent) > 0 {
+		delete(s.absent, p.Flow)
+	}
 	a.Dest = t.entry.Addr
 	a.Target = t.entry.Number
 	a.Token = t.token
--- a/coordination/steering/steering_test.go
+++ b/coordination/steering/steering_test.go
@@ -70,9 +70,11 @@
 	w.apply()
 	is.Equal(c.sendRequest().Key, key)
 	is.Equal(w.caller(2, feeds).open(0).Key, fleet.TargetKey("m0"))
+	w.now += time.Second
 	w.view.Config.Version = 3
 	w.view.Config.Routes = w.view.Config.Routes[1:]
 	w.apply()
+	w.complete, w.completeKnown = w.now, true // no later configuration adds the route again
 	a := c.sendRequest()
 	is.Equal(a.Kind, Reset)
 	is.Equal(a.Cause, CauseNoRoute)
--- a/coordination/steering/tokens_test.go
+++ b/coordination/steering/tokens_test.go
@@ -43,11 +43,12 @@
 	is := is.New(t)
 	w := newFixture(t)
 	w.completeKnown = true
-	c := w.caller(1, feeds)
-	for i := range maxUnknownTokens {
-		c.token = Token(0x99000000 + i)
-		is.Equal(c.confirm().Kind, Drop)
+	for i := range maxAbsentFlows {
+		other := w.caller(2+i, feeds)
+		other.token = Token(0x99000000 + i)
+		is.Equal(other.confirm().Kind, Drop)
 	}
+	c := w.caller(1, feeds)
 	c.token = 0x98000000
 	is.Equal(c.sendRequest().Kind, Drop)
 	w.now += time.Second
--- a/coordination/steering/view.go
+++ b/coordination/steering/view.go
@@ -121,11 +121,6 @@
 		}
 	}
 	s.tokens = tokens
-	for token := range s.unknown {
-		if tokens[token] != nil {
-			delete(s.unknown, token)
-		}
-	}
 	s.targets = known
 }
 
--- a/internal/tokenhost/host.go
+++ b/internal/tokenhost/host.go
@@ -84,11 +84,11 @@
 	h.decisions = newDecisionLog(h.log, h.clock)
 	var err error
 	h.packets, err = direct.New(direct.Config{
-		Listen: s.Data[0], Codec: deps.Codec, Observer: h.decisions, Clock: h.clock,
+		Listen: s.Data[0], Codec: deps.Codec, Observer: h.decisions, Clock: h.clock, CompleteTo: h.completeTo,
 		Steering: steering.New(steering.Config{
 			Zone: s.Zone, Events: h.decisions.logTargetEvent, ZoneEvents: h.decisions.logZoneEvent,
 			ShareEvents: h.decisions.logShareEvent,
-			CompleteTo:  h.completeTo, Refresh: h.refresh, Balancing: steering.Balancing(s.Balancing),
+			CompleteTo:  h.viewCompleteTo, Refresh: h.refresh, Balancing: steering.Balancing(s.Balancing),
 		}),
 	})
 	if err != nil {
@@ -229,6 +229,10 @@
 	}
 }
 
+// viewCompleteTo returns the time up to which the view of the packet path holds all
+// changes of the store, and false while it may be incomplete or out of date.
+func (h *Host) viewCompleteTo() (time.Duration, bool) { return h.packets.CompleteTo() }
+
 // completeTo returns the time up to which this host has received all changes of
 // the store, and false while its entries may be incomplete or out of date.
 func (h *Host) completeTo() (time.Duration, bool) { return h.follower.CompleteTo() }
--- a/transport/direct/direct.go
+++ b/transport/direct/direct.go
@@ -55,12 +55,16 @@
 	Decided(now time.Duration, p *steering.Segment, a *steering.Action)
 }
 
-// Config configures a Server. All fields are required.
+// Config configures a Server. Fields are required unless stated otherwise.
 type Config struct {
 	Listen   netip.AddrPort
 	Codec    Codec
 	Steering *steering.Steering
 	Observer Observer
+	// CompleteTo returns the time up to which the views passed to SetView so far hold
+	// everything that was written to the store, and false if that is unknown. It must
+	// not block; it may be nil.
+	CompleteTo func() (time.Duration, bool)
 	// Clock returns the monotonic time since a fixed instant.
 	Clock func() time.Duration
 }
@@ -118,6 +122,10 @@
 	appliedLoadsAt time.Duration
 	lastTick       time.Duration
 	lastPublish    time.Duration
+	// completeTo and completeKnown are what Config.CompleteTo returned before the
+	// applied view was loaded.
+	completeTo    time.Duration
+	completeKnown bool
 }
 
 // New opens the socket. The server handles no packets before Run.
@@ -158,6 +166,10 @@
 // Stats returns the last published values, which are updated about every 200 ms.
 func (s *Server) Stats() *Stats { return s.stats.Load() }
 
+// CompleteTo returns the time up to which the view in use holds everything that was
+// written to the store, and false if that is unknown. Only the Steering may call it.
+func (s *Server) CompleteTo() (time.Duration, bool) { return s.completeTo, s.completeKnown }
+
 // Close closes the socket, which makes Run return.
 func (s *Server) Close() error {
 	s.closed.Store(true)
@@ -261,6 +273,10 @@
 // tick applies a new view and new peer loads, and answers a question. When their
 // intervals have passed, it also ticks the steering and publishes the counters.
 func (s *Server) tick(now time.Duration) {
+	if s.cfg.CompleteTo != nil {
+		// Read before the view: a later view may be the one that completeTo is about.
+		s.completeTo, s.completeKnown = s.cfg.CompleteTo()
+	}
 	if v := s.view.Load(); v != s.appliedView {
 		s.setView(now, v)
 	}
--- a/transport/follow/calls.go
+++ b/transport/follow/calls.go
@@ -28,9 +28,9 @@
 	// ReasonRestored lists all entries because the grace after the store's restore
 	// from an older copy is over.
 	ReasonRestored Reason = "restored"
-	// ReasonUnknownToken is a call because of a packet whose token matches no
-	// target.
-	ReasonUnknownToken Reason = "unknown-token"
+	// ReasonUnknownDestination is a call because of a packet of an open flow whose
+	// route or target this host does not know.
+	ReasonUnknownDestination Reason = "unknown-destination"
 )
 
 // Call identifies the calls that are counted together.
--- a/transport/follow/feed.go
+++ b/transport/follow/feed.go
@@ -21,17 +21,17 @@
 		feedWait := f.cfg.Peers.FeedWait()
 		f.mu.Lock()
 		wait := f.lastUpdate + timeout + feedWait - f.cfg.Clock()
-		missedFeed, listed := f.missedFeed, f.listed
+		due, listed := f.readDue(), f.listed
 		f.mu.Unlock()
-		if !listed && missedFeed == "" {
+		if !listed && due == "" {
 			return own // feeds only continue a list
 		}
-		if missedFeed != "" {
-			if f.fetchMissed(ctx, missedFeed) {
+		if due != "" {
+			if f.fetchMissed(ctx, due) {
 				continue
 			}
 			f.sleep(ctx, rand.N(missedFeedJitter))
-			return missedFeed
+			return due
 		}
 		if wait <= 0 {
 			return ReasonNoFeed
@@ -148,9 +148,9 @@
 	f.apply(store.Change{Entry: e, Deleted: c.Deleted})
 }
 
-// Refresh makes this host read the store soon, at most once per
-// minRefreshInterval. It is called when a packet carries a token that matches no
-// target of the host's view.
+// Refresh makes this host read the store now, at most once per minRefreshInterval,
+// whether or not it is the reader of its zone. It is called when a packet of an open
+// flow arrives whose route or target is not in the host's view.
 func (f *Follower) Refresh() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -159,10 +159,39 @@
 		return
 	}
 	f.lastRefresh = now
-	f.missedFeed = ReasonUnknownToken
+	f.refreshTo = now
 	f.wake()
 }
 
+// refreshDue reports whether a read that Refresh requested is still to be made. The
+// caller holds f.mu.
+func (f *Follower) refreshDue() bool { return f.refreshTo > 0 && f.completeTo < f.refreshTo }
+
+// readDue returns why this host has to read the store although another host does, an
+// empty reason if it need not. The caller holds f.mu.
+func (f *Follower) readDue() Reason {
+	if f.missedFeed == "" && f.refreshDue() {
+		return ReasonUnknownDestination
+	}
+	return f.missedFeed
+}
+
+// pause waits until a time for the next read. It returns earlier, with true, once
+// Refresh requests one.
+func (f *Follower) pause(ctx context.Context, until time.Duration) bool {
+	for ctx.Err() == nil {
+		f.mu.Lock()
+		due := f.refreshDue()
+		f.mu.Unlock()
+		wait := until - f.cfg.Clock()
+		if due || wait <= 0 {
+			return due
+		}
+		f.waitForWakeup(ctx, wait)
+	}
+	return false
+}
+
 // advance records that all changes up to a position are known. They include all
 // writes made until the time completeTo, as the store said at the time updated.
 func (f *Follower) advance(to store.Position, completeTo, updated time.Duration) {
--- a/transport/follow/follow.go
+++ b/transport/follow/follow.go
@@ -8,6 +8,7 @@
 	"maps"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -118,11 +119,11 @@
 	// wakeup signals Run that a feed arrived or that a read is due.
 	wakeup chan struct{}
 	// missedFeed is why this host has to read the store although another host
-	// does: a feed has shown that it lacks changes, or Refresh was called. It is
-	// empty if there is no reason.
+	// does: a feed has shown that it lacks changes. It is empty if there is no reason.
 	missedFeed Reason
-	// lastRefresh is when Refresh last caused a read.
-	lastRefresh time.Duration
+	// lastRefresh is when Refresh last caused a read, refreshTo the time up to which
+	// that read has to be complete.
+	lastRefresh, refreshTo time.Duration
 	// lastMismatch is when this host's targets last differed from the reader's,
 	// valid if hasMismatch is set.
 	lastMismatch time.Duration
@@ -166,6 +167,8 @@
 	transfer *tableTransfer
 	// epochMissing is set once a response did not name the store's epoch.
 	epochMissing bool
+	// progress is what CompleteTo returns, nil before the first update.
+	progress atomic.Pointer[progress]
 }
 
 // Stats are the totals and the state of a Follower, for metrics.
@@ -224,15 +227,36 @@
 	return f.pos.Index > 0 && !f.storeLost
 }
 
-// CompleteTo returns the time up to which this host knows all writes to the
-// store. The second result is false while entries may be missing from the store
-// itself after an outage, or while the last update is too old.
+// CompleteTo returns the time up to which the last published view has all writes to
+// the store. The second result is false while entries may be missing from the store
+// itself after an outage, or while the last update is too old. It does not block.
 func (f *Follower) CompleteTo() (time.Duration, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
+	p := f.progress.Load()
+	if p == nil {
+		return 0, false
+	}
 	now := f.cfg.Clock()
-	settled := now >= f.lastList+listSettleTime && (!f.hasFailed || now >= f.lastFailure+failureSettleTime)
-	return f.completeTo, f.listed && !f.storeLost && settled && now < f.lastUpdate+maxUpdateAge
+	return p.completeTo, now >= p.settledAt && now < p.expiresAt
+}
+
+// progress says how far a host has read.
+type progress struct {
+	// completeTo is the time up to which all writes are known. Absent entries say
+	// something about that time from settledAt to expiresAt.
+	completeTo, settledAt, expiresAt time.Duration
+}
+
+// recordProgress updates what CompleteTo returns. It is called after the view that
+// holds the changes was published. The caller holds f.mu.
+func (f *Follower) recordProgress() {
+	p := progress{completeTo: f.completeTo, settledAt: f.lastList + listSettleTime}
+	if f.hasFailed {
+		p.settledAt = max(p.settledAt, f.lastFailure+failureSettleTime)
+	}
+	if f.listed && !f.storeLost {
+		p.expiresAt = f.lastUpdate + maxUpdateAge
+	}
+	f.progress.Store(&p)
 }
 
 // Run follows the store until ctx is done.
@@ -248,8 +272,11 @@
 		switch {
 		case err == nil:
 			delay = minRetryDelay
-			f.sleep(ctx, start+f.cfg.PollInterval-f.cfg.Clock())
-			reason = f.waitToRead(ctx, ReasonReader)
+			if f.pause(ctx, start+f.cfg.PollInterval) {
+				reason = ReasonUnknownDestination
+			} else {
+				reason = f.waitToRead(ctx, ReasonReader)
+			}
 		case store.IsKind(err, store.HistoryLost):
 			f.recordFailure(err)
 			reason = ReasonHistoryLost
@@ -268,6 +295,7 @@
 // publish expires missing targets and publishes a new view if anything has
 // changed.
 func (f *Follower) publish() {
+	defer f.recordProgress()
 	if !f.targetsDiffer {
 		for _, key := range f.dir.Sweep(f.cfg.Clock()) {
 			f.cfg.Log.Warn().Str("event", "target_expired").Str("target", string(key)).Send()
--- a/transport/follow/follow_test.go
+++ b/transport/follow/follow_test.go
@@ -196,3 +196,18 @@
 	_, watches := x.feed.calls()
 	is.Equal(watches, 1)
 }
+
+// Guards against a read that Refresh requests and that the zone's reader makes only when
+// its poll interval has passed.
+func TestRefreshInterruptsThePollInterval(t *testing.T) {
+	is := is.New(t)
+	x := newFixture(time.Hour)
+	x.start(t)
+	eventually(t, "first view", func() bool { return x.lastView() != nil })
+	x.feed.put("t/2", "1")
+	time.Sleep(minRefreshInterval) // Refresh is rate-limited from clock time 0 on
+	x.Refresh()
+	eventually(t, "changed view", func() bool { return len(x.lastView().Targets) == 2 })
+	_, watches := x.feed.calls()
+	is.Equal(watches, 1)
+}
--- a/transport/follow/read.go
+++ b/transport/follow/read.go
@@ -72,6 +72,7 @@
 func (f *Follower) recordFailure(err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	defer f.recordProgress()
 	f.lastFailure, f.hasFailed = f.cfg.Clock(), true
 	kind := store.Unavailable
 	var e *store.Error
