Count the grace of missing targets by what was read, not by the clock

What callers saw: a zone is cut off for 6 s while many large configurations are written.

Cause: entries that expire in an outage are written again within 2 s, and a host keeps missing targets for 2.5 s from its first answer on, by its own clock. The new entries stood behind 6 MB of configurations, read 1 MB at a time every 0.9 s. Each answer counted as everything written before the call, also when the store had divided it. Evidence, log of edge-z-b-3 on: store_regained and target_removed state=missing (revisions 210 to 212) at 40.737 s, four config_in_force each 0.9 s, target_expired at 43.239 s, target_changed change=new for the same three at 45.909 s. Entries that came late are ruled out: they stand in the history directly behind the configurations.

Change: a host compares the position that it has read with that of the store (Feed.Head, an empty range). An answer is complete if it is empty, reaches a position known before the call, or is no longer than one that did; so the position is read a few times after a start and when an answer is longer than all before. The directory's grace and the choice between missing and gone go by the time up to which all is known. Feeds say how far their sender lags. A list after a gap starts the grace as changes do.

--- a/coordination/fleet/directory.go
+++ b/coordination/fleet/directory.go
@@ -11,8 +11,9 @@
 )
 
 const (
-	// recoveryGrace is how long a missing target is kept after the store is
-	// reachable again: targets rewrite entries that expired meanwhile within 2 s.
+	// recoveryGrace is the time after the store is reachable again until which a
+	// host has to have read everything before a missing target counts as gone:
+	// targets rewrite entries that expired meanwhile within 2 s.
 	recoveryGrace = 2500 * time.Millisecond
 	// warmUpTolerance is how much later the expected end of a target's warm-up
 	// may become without counting as a change: heartbeats are read with a varying
@@ -246,17 +247,18 @@
 	return "unknown"
 }
 
-// RemoveTarget records that the store has no entry of a target any more. The
-// target is gone at once, or missing if the store is unreachable or became
-// reachable again less than recoveryGrace ago. RemoveTarget returns what became of
-// the target.
-func (d *Directory) RemoveTarget(now time.Duration, key TargetKey) Removal {
+// RemoveTarget records that the store has no entry of a target any more. known is
+// the time up to which all earlier changes were read: the removal may have been
+// written at any time since. The target is gone at once, or missing if the store is
+// unreachable or known is before the end of recoveryGrace. RemoveTarget returns
+// what became of the target.
+func (d *Directory) RemoveTarget(now, known time.Duration, key TargetKey) Removal {
 	old := d.targets[key]
 	if old == nil || old.Gone || old.Missing {
 		return RemovalNone
 	}
 	removal := RemovalGone
-	if d.storeLost || (d.storeWasLost && now < d.storeRegainedAt+recoveryGrace) {
+	if d.storeLost || (d.storeWasLost && known < d.storeRegainedAt+recoveryGrace) {
 		removal = RemovalMissing
 	}
 	e := *old
@@ -281,17 +283,18 @@
 	d.changed = true
 }
 
-// Sweep marks targets that have been missing for too long as gone and drops
-// those that have been gone for goneRetention. It returns the keys of the newly
-// gone targets.
-func (d *Directory) Sweep(now time.Duration) []TargetKey {
+// Sweep marks targets as gone that are still missing although everything was read
+// that was written until the end of their grace, and drops those that have been gone
+// for goneRetention. known is the time up to which all writes were read. Sweep returns
+// the keys of the newly gone targets.
+func (d *Directory) Sweep(now, known time.Duration) []TargetKey {
 	var gone []TargetKey
 	for key, e := range d.targets {
 		switch {
 		case e.Gone && now >= e.Since+goneRetention:
 			delete(d.targets, key)
 			d.changed = true
-		case e.Missing && !d.storeLost && now >= max(d.storeRegainedAt, e.Since)+recoveryGrace:
+		case e.Missing && !d.storeLost && known >= max(d.storeRegainedAt, e.Since)+recoveryGrace:
 			updated := *e
 			updated.Missing, updated.Gone, updated.Since = false, true, now
 			d.targets[key] = &updated
--- a/coordination/fleet/directory_test.go
+++ b/coordination/fleet/directory_test.go
@@ -55,7 +55,7 @@
 func TestRemovedTargetIsGoneAtOnceWhileTheStoreAnswers(t *testing.T) {
 	is := is.New(t)
 	d := newReadyDirectory()
-	d.RemoveTarget(time.Second, "t1")
+	d.RemoveTarget(time.Second, time.Second, "t1")
 	is.True(entry(d, "t1").Gone)
 	is.True(!entry(d, "t2").Gone)
 }
@@ -68,13 +68,13 @@
 	d := newReadyDirectory()
 	d.StoreLost()
 	is.True(d.StoreRegained(10 * time.Second))
-	d.RemoveTarget(10*time.Second, "t1")
-	d.RemoveTarget(10*time.Second, "t2")
+	d.RemoveTarget(10*time.Second, 10*time.Second, "t1")
+	d.RemoveTarget(10*time.Second, 10*time.Second, "t2")
 	is.True(entry(d, "t1").Missing)
 	is.True(!entry(d, "t1").Gone)
-	is.Equal(len(d.Sweep(12*time.Second)), 0)
+	is.Equal(len(d.Sweep(12*time.Second, 12*time.Second)), 0)
 	is.Equal(d.PutTarget(12*time.Second, target("t1", 2)), ChangeReturned)
-	is.Equal(d.Sweep(12500*time.Millisecond), []TargetKey{"t2"})
+	is.Equal(d.Sweep(12500*time.Millisecond, 12500*time.Millisecond), []TargetKey{"t2"})
 	is.True(!entry(d, "t1").Missing)
 	is.True(entry(d, "t2").Gone)
 }
@@ -86,9 +86,9 @@
 	d := newReadyDirectory()
 	d.StoreLost()
 	d.StoreRegained(10 * time.Second)
-	d.RemoveTarget(11*time.Second, "t1")
+	d.RemoveTarget(11*time.Second, 11*time.Second, "t1")
 	is.True(entry(d, "t1").Missing)
-	d.RemoveTarget(13*time.Second, "t2")
+	d.RemoveTarget(13*time.Second, 13*time.Second, "t2")
 	is.True(entry(d, "t2").Gone)
 }
 
@@ -102,7 +102,7 @@
 	is.True(entry(d, "t1").Missing)
 	is.True(entry(d, "t2").Missing)
 	is.Equal(d.PutTarget(2*time.Second, target("t1", 2)), ChangeReturned)
-	is.Equal(d.Sweep(4*time.Second), []TargetKey{"t2"})
+	is.Equal(d.Sweep(4*time.Second, 4*time.Second), []TargetKey{"t2"})
 	d.MarkTargetMissing(5*time.Second, "t9") // an unknown target
 	is.Equal(entry(d, "t9").Key, TargetKey(""))
 }
@@ -111,8 +111,8 @@
 	is := is.New(t)
 	d := newReadyDirectory()
 	d.StoreLost()
-	d.RemoveTarget(time.Second, "t1") // received from another host
-	is.Equal(len(d.Sweep(time.Hour)), 0)
+	d.RemoveTarget(time.Second, time.Second, "t1") // received from another host
+	is.Equal(len(d.Sweep(time.Hour, time.Hour)), 0)
 	is.True(entry(d, "t1").Missing)
 }
 
@@ -147,10 +147,10 @@
 func TestGoneTargetIsForgottenAfterAMinute(t *testing.T) {
 	is := is.New(t)
 	d := newReadyDirectory()
-	d.RemoveTarget(0, "t1")
-	d.Sweep(59 * time.Second)
+	d.RemoveTarget(0, 0, "t1")
+	d.Sweep(59*time.Second, 59*time.Second)
 	is.True(entry(d, "t1").Gone)
-	d.Sweep(60 * time.Second)
+	d.Sweep(60*time.Second, 60*time.Second)
 	is.Equal(entry(d, "t1").Key, TargetKey(""))
 }
 
@@ -193,8 +193,8 @@
 		{"unknown", func(*Directory) {}, target("t9", 1), false},
 		{"as known", func(*Directory) {}, target("t1", 1), false},
 		{"later heartbeat", func(*Directory) {}, target("t1", 3), false},
-		{"gone", func(d *Directory) { d.RemoveTarget(0, "t1") }, target("t1", 3), true},
-		{"gone, restarted", func(d *Directory) { d.RemoveTarget(0, "t1") }, restarted, false},
+		{"gone", func(d *Directory) { d.RemoveTarget(0, 0, "t1") }, target("t1", 3), true},
+		{"gone, restarted", func(d *Directory) { d.RemoveTarget(0, 0, "t1") }, restarted, false},
 		{"draining", func(d *Directory) { d.PutTarget(0, draining) }, target("t1", 3), true},
 		{"draining, in the copy too", func(d *Directory) { d.PutTarget(0, draining) }, draining, false},
 		{"draining, restarted", func(d *Directory) { d.PutTarget(0, draining) }, restarted, false},
@@ -216,11 +216,11 @@
 	is := is.New(t)
 	d := newReadyDirectory()
 	d.ExpectRewrites(10 * time.Second)
-	d.RemoveTarget(10*time.Second, "t1")
-	d.RemoveTarget(10*time.Second, "t2")
+	d.RemoveTarget(10*time.Second, 10*time.Second, "t1")
+	d.RemoveTarget(10*time.Second, 10*time.Second, "t2")
 	is.True(entry(d, "t1").Missing && !entry(d, "t1").Gone)
 	is.Equal(d.PutTarget(11*time.Second, target("t1", 2)), ChangeReturned)
-	is.Equal(d.Sweep(12500*time.Millisecond), []TargetKey{"t2"})
+	is.Equal(d.Sweep(12500*time.Millisecond, 12500*time.Millisecond), []TargetKey{"t2"})
 }
 
 // Guards against targets that count as gone during an outage because changes came
@@ -230,9 +230,24 @@
 	d := newReadyDirectory()
 	d.StoreLost()
 	d.ExpectRewrites(time.Second)
-	d.RemoveTarget(time.Second, "t1")
-	is.Equal(len(d.Sweep(time.Hour)), 0)
+	d.RemoveTarget(time.Second, time.Second, "t1")
+	is.Equal(len(d.Sweep(time.Hour, time.Hour)), 0)
 	is.True(entry(d, "t1").Missing)
 	is.True(d.StoreRegained(2 * time.Hour))
-	is.Equal(d.Sweep(3*time.Hour), []TargetKey{"t1"})
+	is.Equal(d.Sweep(3*time.Hour, 3*time.Hour), []TargetKey{"t1"})
+}
+
+// Guards against a target that counts as gone because its removal is read long after
+// the store is reachable again, while its new entry stands further on in the history.
+func TestGraceCountsByWhatWasRead(t *testing.T) {
+	is := is.New(t)
+	d := newReadyDirectory()
+	d.StoreLost()
+	d.StoreRegained(10 * time.Second)
+	is.Equal(d.RemoveTarget(14*time.Second, 4*time.Second, "t1"), RemovalMissing)
+	is.Equal(len(d.Sweep(20*time.Second, 16*time.Second)), 0) // not read yet what it wrote until 16.5 s
+	is.Equal(d.PutTarget(20*time.Second, target("t1", 2)), ChangeReturned)
+	is.Equal(d.RemoveTarget(21*time.Second, 12499*time.Millisecond, "t2"), RemovalMissing)
+	is.Equal(d.Sweep(24*time.Second, 23500*time.Millisecond), []TargetKey{"t2"})
+	is.Equal(d.RemoveTarget(30*time.Second, 12500*time.Millisecond, "t1"), RemovalGone)
 }
--- a/coordination/store/error.go
+++ b/coordination/store/error.go
@@ -76,6 +76,7 @@
 	OpDelete      Op = "delete"
 	OpWatch       Op = "watch"
 	OpChanges     Op = "changes"
+	OpHead        Op = "head"
 	OpCreateLease Op = "create-lease"
 	OpRenewLease  Op = "renew-lease"
 	OpRevokeLease Op = "revoke-lease"
@@ -85,7 +86,7 @@
 
 // Writes reports whether the operation changes the store.
 func (o Op) Writes() bool {
-	return o != OpGet && o != OpList && o != OpWatch && o != OpChanges
+	return o != OpGet && o != OpList && o != OpWatch && o != OpChanges && o != OpHead
 }
 
 // Error is the failure of one operation.
--- a/coordination/store/store.go
+++ b/coordination/store/store.go
@@ -119,7 +119,12 @@
 	// Changes returns the changes after an index once there are any, or none when
 	// wait has passed. Its error is of kind HistoryLost if the store no longer
 	// has some of them.
+	// An answer may hold only the first ones: it then ends at the index of its last
+	// change.
 	Changes(ctx context.Context, prefix Key, after Index, wait time.Duration) (Changes, error)
+	// Head returns the position of the store. All writes that were acknowledged before
+	// the call are at it or before.
+	Head(ctx context.Context) (Position, error)
 }
 
 // Leases lets one holder at a time hold a key. A holder that was paused may not
--- a/internal/tokenhost/host_test.go
+++ b/internal/tokenhost/host_test.go
@@ -44,6 +44,10 @@
 	return store.Changes{Index: after}, nil
 }
 
+func (s staticFeed) Head(context.Context) (store.Position, error) {
+	return store.Position{Index: 1}, nil
+}
+
 // addrDecoder decodes entries whose value is the address of a target.
 type addrDecoder struct{}
 
--- a/internal/zonemodel/host_test.go
+++ b/internal/zonemodel/host_test.go
@@ -116,6 +116,14 @@
 	return f.modelStore.List(ctx, prefix)
 }
 
+// Head implements store.Feed.
+func (f *hostFeed) Head(ctx context.Context) (store.Position, error) {
+	if f.refuses() {
+		return store.Position{}, &store.Error{Op: store.OpHead, Kind: store.Overloaded}
+	}
+	return f.modelStore.Head(ctx)
+}
+
 // Changes implements store.Feed.
 func (f *hostFeed) Changes(ctx context.Context, prefix store.Key, after store.Index, wait time.Duration) (store.Changes, error) {
 	if f.refuses() {
--- a/internal/zonemodel/store_test.go
+++ b/internal/zonemodel/store_test.go
@@ -30,8 +30,8 @@
 	history []store.Change
 	// away is set while no call succeeds.
 	away bool
-	// lists and watches count the calls, also failed ones.
-	lists, watches int
+	// lists, watches and heads count the calls, also failed ones.
+	lists, watches, heads int
 }
 
 func newModelStore() *modelStore {
@@ -135,6 +135,18 @@
 	return all, nil
 }
 
+// Head implements store.Feed.
+func (s *modelStore) Head(context.Context) (store.Position, error) {
+	time.Sleep(callTime)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.heads++
+	if s.away {
+		return store.Position{}, &store.Error{Op: store.OpHead, Kind: store.Unavailable}
+	}
+	return store.Position{Epoch: s.epoch, Index: s.index}, nil
+}
+
 // Changes implements store.Feed.
 func (s *modelStore) Changes(ctx context.Context, _ store.Key, after store.Index, wait time.Duration) (store.Changes, error) {
 	time.Sleep(callTime)
--- a/protocol/gossip/gossip.go
+++ b/protocol/gossip/gossip.go
@@ -130,6 +130,10 @@
 	// Operator is the operator's state at index To, nil if the sender does not send
 	// it.
 	Operator *OperatorState `cbor:"9,keyasint,omitempty"`
+	// LagMS is the time in milliseconds since the sender last knew all changes if
+	// there may be some that it has not read yet, else 0. Builds that don't know it
+	// send 0.
+	LagMS int64 `cbor:"10,keyasint,omitempty"`
 }
 
 // OperatorState sums up what the operator has written.
--- a/transport/follow/apply.go
+++ b/transport/follow/apply.go
@@ -18,7 +18,7 @@
 	key := f.targetKey(c.Key)
 	if c.Deleted {
 		delete(f.rejected, c.Key)
-		if removal := f.dir.RemoveTarget(f.cfg.Clock(), key); removal != fleet.RemovalNone {
+		if removal := f.dir.RemoveTarget(f.cfg.Clock(), f.completeTo, key); removal != fleet.RemovalNone {
 			f.cfg.Log.Info().Str("event", "target_removed").Str("target", string(key)).Stringer("state", removal).
 				Uint64("revision", uint64(c.Revision)).Send()
 		}
--- a/transport/follow/calls.go
+++ b/transport/follow/calls.go
@@ -45,6 +45,11 @@
 	if f.continuesList() {
 		op = store.OpChanges
 	}
+	f.recordCall(op, reason)
+}
+
+// recordCall counts and logs a call. The caller holds f.mu.
+func (f *Follower) recordCall(op store.Op, reason Reason) {
 	f.stats.Calls[Call{op, reason}]++
 	f.cfg.Log.Debug().Str("event", "store_call").Str("operation", string(op)).Str("reason", string(reason)).Send()
 }
--- a/transport/follow/feed.go
+++ b/transport/follow/feed.go
@@ -68,6 +68,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	from, to := f.feedPositions(feed)
+	f.reach.see(to)
 	if !f.listed || to.Before(f.pos) {
 		return false
 	}
@@ -86,7 +87,8 @@
 	lacked := f.pos.Before(to)
 	f.recent.add(f.pos, to, feed.Changes)
 	updated := f.cfg.Clock() - time.Duration(feed.AgeMS)*time.Millisecond
-	f.advance(to, updated-maxFeedDelay, updated)
+	lag := time.Duration(feed.LagMS) * time.Millisecond
+	f.advance(to, updated-lag-maxFeedDelay, updated)
 	if f.compareViews(feed, to) && fromReader && f.peerStoreAnswers {
 		f.confirmTable("checksum")
 	}
@@ -233,8 +235,9 @@
 		}
 	}
 	f.recent.add(after, to, feed.Changes)
-	f.advance(to, start, f.cfg.Clock())
+	f.advance(to, f.recordAnswer(after, to, start, got.List), f.cfg.Clock())
 	f.publish()
 	f.addState(feed)
+	feed.LagMS = f.lagTime().Milliseconds()
 	return feed, nil
 }
--- a/transport/follow/fixture_test.go
+++ b/transport/follow/fixture_test.go
@@ -31,6 +31,9 @@
 	err     error
 	lists   int
 	watches int
+	heads   int
+	// pageEvents is the maximum number of changes in an answer, 0 for no limit.
+	pageEvents int
 }
 
 func (f *feed) List(context.Context, store.Key) (store.Snapshot, error) {
@@ -52,13 +55,28 @@
 	}
 	got := store.Changes{Epoch: f.epoch, Index: f.index}
 	for _, c := range f.changes {
-		if store.Index(c.Revision) > after {
-			got.List = append(got.List, c)
+		if store.Index(c.Revision) <= after {
+			continue
 		}
+		if len(got.List) == f.pageEvents && f.pageEvents > 0 {
+			got.Index = store.Index(got.List[len(got.List)-1].Revision)
+			break
+		}
+		got.List = append(got.List, c)
 	}
 	return got, nil
 }
 
+func (f *feed) Head(context.Context) (store.Position, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.heads++
+	if f.err != nil {
+		return store.Position{}, f.err
+	}
+	return store.Position{Epoch: f.epoch, Index: f.index}, nil
+}
+
 func (f *feed) put(key, value string) store.Change {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -242,3 +260,13 @@
 	}
 	t.Fatalf("not within 20 s: %s", what)
 }
+
+// target returns a target's entry in the last view.
+func (x *fixture) target(key fleet.TargetKey) (fleet.Entry, bool) {
+	for _, e := range x.lastView().Targets {
+		if e.Key == key {
+			return e, true
+		}
+	}
+	return fleet.Entry{}, false
+}
--- a/transport/follow/follow.go
+++ b/transport/follow/follow.go
@@ -114,8 +114,10 @@
 	listed bool
 	// lastUpdate is when the store or a feed last provided an update.
 	lastUpdate time.Duration
-	// completeTo is the time up to which all writes are known.
+	// completeTo is the time up to which all writes are known, reach says how far the
+	// history was read compared to the store's.
 	completeTo time.Duration
+	reach      reach
 	// wakeup signals Run that a feed arrived or that a read is due.
 	wakeup chan struct{}
 	// missedFeed is why this host has to read the store although another host
@@ -184,6 +186,10 @@
 	Rejected int
 	// Feeds counts the applied feeds of other hosts.
 	Feeds uint64
+	// LagRevisions is the number of revisions of the store that are known to exist and
+	// were not read yet. CompleteTo is the time up to which all writes are known.
+	LagRevisions uint64
+	CompleteTo   time.Duration
 	// Epoch is the epoch of the store, Restores counts its restores from a copy and
 	// Kept the entries of copies that did not override what was known.
 	Epoch    store.Epoch
@@ -200,6 +206,7 @@
 	return &Follower{
 		cfg: cfg, dir: fleet.NewDirectory(), rejected: map[store.Key]string{}, operator: map[store.Key]bool{}, values: map[store.Key]store.Entry{}, wakeup: make(chan struct{}, 1),
 		stats: Stats{Calls: map[Call]uint64{}, Failures: map[store.Kind]uint64{}},
+		reach: newReach(),
 	}
 }
 
@@ -227,38 +234,6 @@
 	return f.pos.Index > 0 && !f.storeLost
 }
 
-// CompleteTo returns the time up to which the last published view has all writes to
-// the store. The second result is false while entries may be missing from the store
-// itself after an outage, or while the last update is too old. It does not block.
-func (f *Follower) CompleteTo() (time.Duration, bool) {
-	p := f.progress.Load()
-	if p == nil {
-		return 0, false
-	}
-	now := f.cfg.Clock()
-	return p.completeTo, now >= p.settledAt && now < p.expiresAt
-}
-
-// progress says how far a host has read.
-type progress struct {
-	// completeTo is the time up to which all writes are known. Absent entries say
-	// something about that time from settledAt to expiresAt.
-	completeTo, settledAt, expiresAt time.Duration
-}
-
-// recordProgress updates what CompleteTo returns. It is called after the view that
-// holds the changes was published. The caller holds f.mu.
-func (f *Follower) recordProgress() {
-	p := progress{completeTo: f.completeTo, settledAt: f.lastList + listSettleTime}
-	if f.hasFailed {
-		p.settledAt = max(p.settledAt, f.lastFailure+failureSettleTime)
-	}
-	if f.listed && !f.storeLost {
-		p.expiresAt = f.lastUpdate + maxUpdateAge
-	}
-	f.progress.Store(&p)
-}
-
 // Run follows the store until ctx is done.
 func (f *Follower) Run(ctx context.Context) {
 	delay := minRetryDelay
@@ -297,7 +272,7 @@
 func (f *Follower) publish() {
 	defer f.recordProgress()
 	if !f.targetsDiffer {
-		for _, key := range f.dir.Sweep(f.cfg.Clock()) {
+		for _, key := range f.dir.Sweep(f.cfg.Clock(), f.completeTo) {
 			f.cfg.Log.Warn().Str("event", "target_expired").Str("target", string(key)).Send()
 		}
 	}
@@ -323,6 +298,8 @@
 	s.Rejected = len(f.rejected)
 	s.LastUpdate = f.lastUpdate
 	s.Epoch = f.pos.Epoch
+	s.LagRevisions = f.reach.lag(f.pos)
+	s.CompleteTo = f.completeTo
 	return s
 }
 
--- a/transport/follow/list.go
+++ b/transport/follow/list.go
@@ -46,6 +46,9 @@
 	if f.pos.Epoch == 0 && f.pos.Index > 0 && all.Epoch != 0 {
 		f.adoptEpoch(all.Epoch)
 	}
+	if f.pos.Index > 0 {
+		f.checkUpdateGap()
+	}
 	former := f.pos
 	if f.restored(&all) {
 		f.recordRestore(all.Position())
@@ -76,6 +79,7 @@
 	} else {
 		f.recent.reset(f.pos)
 	}
+	f.reach.reset(f.pos, start)
 	f.advance(f.pos, start, f.cfg.Clock())
 	f.publish()
 	f.cfg.Log.Info().Str("event", "store_listed").Int("entries", len(all.Entries)).Uint64("epoch", uint64(all.Epoch)).
@@ -157,7 +161,7 @@
 func (f *Follower) applyUnlisted(key store.Key, index store.Index, held bool) bool {
 	if key.HasPrefix(f.cfg.Keys.Targets) {
 		target := f.targetKey(key)
-		if removal := f.dir.RemoveTarget(f.cfg.Clock(), target); removal != fleet.RemovalNone {
+		if removal := f.dir.RemoveTarget(f.cfg.Clock(), f.completeTo, target); removal != fleet.RemovalNone {
 			f.cfg.Log.Info().Str("event", "target_removed").Str("target", string(target)).Stringer("state", removal).
 				Bool("listed", true).Send()
 		}
--- /dev/null
+++ b/transport/follow/progress_test.go
@@ -0,0 +1,129 @@
+package follow
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/jujubehaven/jujubehaven/coordination/store"
+	"github.com/jujubehaven/jujubehaven/protocol/gossip"
+)
+
+// newSteppedFixture returns a fixture whose clock moves only by the result's advance.
+func newSteppedFixture(t *testing.T) (x *fixture, advance func(time.Duration)) {
+	t.Helper()
+	x = newFixture(0)
+	x.skipped.Store(int64(time.Hour))
+	now := time.Minute
+	x.cfg.Clock = func() time.Duration { return now }
+	is.New(t).NoErr(x.read(t.Context(), ReasonStart))
+	return x, func(d time.Duration) { now += d }
+}
+
+// putMany writes n heartbeats of other targets.
+func (f *feed) putMany(n int) {
+	for i := range n {
+		f.put(fmt.Sprintf("t/many-%d", i%10), fmt.Sprint(i))
+	}
+}
+
+// Guards against an answer of the store that holds a part of the changes and counts as
+// all of them: what was written before it would seem absent.
+func TestDividedAnswerIsNotComplete(t *testing.T) {
+	is := is.New(t)
+	x, advance := newSteppedFixture(t)
+	listed := x.cfg.Clock()
+	x.feed.pageEvents = 100
+	x.feed.putMany(350)
+	for range 3 {
+		advance(time.Second)
+		is.NoErr(x.read(t.Context(), ReasonReader))
+		to, _ := x.CompleteTo()
+		is.Equal(to, listed)
+	}
+	is.Equal(x.Stats().LagRevisions, uint64(50))
+	advance(time.Second)
+	is.NoErr(x.read(t.Context(), ReasonReader))
+	to, _ := x.CompleteTo()
+	is.Equal(to, x.cfg.Clock())
+	is.Equal(x.Stats().LagRevisions, uint64(0))
+	is.Equal(x.feed.heads, 1) // the position that it has to reach was read once
+}
+
+// Guards against a store that is asked for its position with each read although its
+// answers are undivided, and against longer answers that count as undivided after that.
+func TestUndividedAnswersAreLearned(t *testing.T) {
+	is := is.New(t)
+	x, advance := newSteppedFixture(t)
+	x.feed.pageEvents = 250
+	for range 20 {
+		advance(time.Second)
+		x.feed.putMany(200)
+		is.NoErr(x.read(t.Context(), ReasonReader))
+	}
+	is.True(x.feed.heads <= 2)
+	to, _ := x.CompleteTo()
+	is.Equal(to, x.cfg.Clock())
+	complete := to
+	x.feed.putMany(600)
+	for range 2 {
+		advance(time.Second)
+		is.NoErr(x.read(t.Context(), ReasonReader))
+		to, _ = x.CompleteTo()
+		is.Equal(to, complete)
+	}
+}
+
+// Guards against the loss of a living target that wrote its entry again after an outage,
+// if the host reads that long after the store is reachable again because the store's
+// history is long.
+func TestTargetsSurviveALongHistoryAfterAnOutage(t *testing.T) {
+	for _, page := range []int{0, 100} {
+		t.Run(fmt.Sprint("page ", page), func(t *testing.T) {
+			is := is.New(t)
+			x, advance := newSteppedFixture(t)
+			x.feed.pageEvents = page
+			advance(time.Minute)
+			x.recordFailure(&store.Error{Kind: store.Unavailable})
+			advance(6 * time.Second)
+			x.feed.putMany(450)
+			x.feed.remove("t/1")
+			x.feed.putMany(450)
+			x.feed.put("t/1", "2")
+			for range 12 {
+				is.NoErr(x.read(t.Context(), ReasonReader))
+				e, ok := x.target("1")
+				is.True(ok)
+				is.True(!e.Gone)
+				advance(900 * time.Millisecond)
+			}
+			e, _ := x.target("1")
+			is.True(!e.Missing)
+		})
+	}
+}
+
+// Guards against a host that takes a feed for complete although the zone's reader has
+// not read all that the store holds.
+func TestFeedOfAReaderThatLags(t *testing.T) {
+	is := is.New(t)
+	x, advance := newSteppedFixture(t)
+	advance(time.Minute)
+	x.ApplyFeed(&gossip.Feed{From: x.pos.Index, To: x.pos.Index, LagMS: 5000})
+	to, _ := x.CompleteTo()
+	is.Equal(to, x.cfg.Clock()-5*time.Second-maxFeedDelay)
+
+	reader, advanceReader := newSteppedFixture(t)
+	reader.feed.pageEvents = 100
+	reader.feed.putMany(250)
+	advanceReader(5 * time.Second)
+	is.NoErr(reader.read(context.Background(), ReasonReader))
+	is.Equal(reader.peers.sent[0].LagMS, int64(5000))
+	for range 2 {
+		is.NoErr(reader.read(context.Background(), ReasonReader))
+	}
+	is.Equal(reader.peers.sent[2].LagMS, int64(0))
+}
--- a/transport/follow/read.go
+++ b/transport/follow/read.go
@@ -34,6 +34,9 @@
 // passed, and sends them to the other hosts of the zone if this host is their
 // reader.
 func (f *Follower) readChanges(ctx context.Context, after store.Position, wait time.Duration, reason Reason) error {
+	if err := f.readHead(ctx, reason); err != nil {
+		return err
+	}
 	start := f.cfg.Clock()
 	got, err := f.cfg.Feed.Changes(ctx, "", after.Index, wait)
 	if err != nil {
--- a/transport/follow/table.go
+++ b/transport/follow/table.go
@@ -170,7 +170,7 @@
 		f.applyLaterList(&all, true) // its sender may know less of a target than this host
 	}
 	for _, key := range missing {
-		f.dir.RemoveTarget(now, key)
+		f.dir.RemoveTarget(now, f.completeTo, key)
 	}
 	if held := time.Duration(first.HeldMS) * time.Millisecond; held > 0 {
 		f.heldUntil, f.relistPending = max(f.heldUntil, now+held), true
