Read on at once while a host is behind the store

What callers saw: after 25 large configurations in 1.5 s all hosts are 4 to 5 s behind.

Cause: a host waits for its poll interval of 0.9 s after each answer, also if the answer left out changes that the store holds. Transfer and decoding are ruled out: four configurations take 25 ms; so is the store, which answers within 4 ms.

Change: a read goes on until it has reached the position that the store had. After an answer longer than all before, that position is asked for first, so undivided answers cost no further call for changes. Only the last change of each of the operator's entries in an answer is decoded.

--- a/transport/follow/apply.go
+++ b/transport/follow/apply.go
@@ -49,6 +49,19 @@
 	return changed
 }
 
+// latestOperator returns the revision of the last change of each of the operator's
+// entries in a list of changes. Each change replaces the former ones of its entry, and
+// long configurations are costly to decode.
+func (f *Follower) latestOperator(list []store.Change) map[store.Key]store.Revision {
+	latest := map[store.Key]store.Revision{}
+	for i := range list {
+		if list[i].Key.HasPrefix(f.cfg.Keys.Operator) {
+			latest[list[i].Key] = list[i].Revision
+		}
+	}
+	return latest
+}
+
 func (f *Follower) applyTarget(t fleet.Target, e store.Entry) bool {
 	f.recordValue(e)
 	change := f.dir.PutTarget(f.cfg.Clock(), t)
--- a/transport/follow/calls.go
+++ b/transport/follow/calls.go
@@ -16,6 +16,8 @@
 	// ReasonHistoryLost lists all entries because the store no longer has the
 	// changes that this host lacks.
 	ReasonHistoryLost Reason = "history-lost"
+	// ReasonBehind continues a read whose answer left out changes, or may have.
+	ReasonBehind Reason = "behind"
 	// ReasonNoFeed is a call because no feed of the zone's reader arrived in time.
 	ReasonNoFeed Reason = "no-feed"
 	// ReasonMissedFeed is a call because a feed follows one that did not arrive.
--- a/transport/follow/feed.go
+++ b/transport/follow/feed.go
@@ -226,10 +226,14 @@
 	to := store.Position{Epoch: got.Epoch, Index: got.Index}
 	after.Epoch = got.Epoch // also if the store has just begun to report it
 	feed := gossip.NewFeed(after, to, nil)
+	latest := f.latestOperator(got.List)
 	for _, c := range got.List {
 		if store.Index(c.Revision) <= f.pos.Index {
 			continue // already applied from a feed
 		}
+		if c.Revision < latest[c.Key] {
+			continue // a later change of the same answer replaces it
+		}
 		if f.apply(c) {
 			feed.Changes = append(feed.Changes, gossip.Change{Key: c.Key, Value: c.Value, Revision: c.Revision, Deleted: c.Deleted})
 		}
--- a/transport/follow/fixture_test.go
+++ b/transport/follow/fixture_test.go
@@ -270,3 +270,14 @@
 	}
 	return fleet.Entry{}, false
 }
+
+// countingDecoder counts the entries of the operator that it decodes.
+type countingDecoder struct {
+	fleet.Decoder
+	operator int
+}
+
+func (d *countingDecoder) Operator(key store.Key, value []byte, deleted bool) (fleet.OperatorChange, error) {
+	d.operator++
+	return d.Decoder.Operator(key, value, deleted)
+}
--- a/transport/follow/progress_test.go
+++ b/transport/follow/progress_test.go
@@ -40,13 +40,13 @@
 	x.feed.putMany(350)
 	for range 3 {
 		advance(time.Second)
-		is.NoErr(x.read(t.Context(), ReasonReader))
+		is.NoErr(x.readAnswer(t.Context(), ReasonReader))
 		to, _ := x.CompleteTo()
 		is.Equal(to, listed)
 	}
 	is.Equal(x.Stats().LagRevisions, uint64(50))
 	advance(time.Second)
-	is.NoErr(x.read(t.Context(), ReasonReader))
+	is.NoErr(x.readAnswer(t.Context(), ReasonReader))
 	to, _ := x.CompleteTo()
 	is.Equal(to, x.cfg.Clock())
 	is.Equal(x.Stats().LagRevisions, uint64(0))
@@ -62,7 +62,7 @@
 	for range 20 {
 		advance(time.Second)
 		x.feed.putMany(200)
-		is.NoErr(x.read(t.Context(), ReasonReader))
+		is.NoErr(x.readAnswer(t.Context(), ReasonReader))
 	}
 	is.True(x.feed.heads <= 2)
 	to, _ := x.CompleteTo()
@@ -71,7 +71,7 @@
 	x.feed.putMany(600)
 	for range 2 {
 		advance(time.Second)
-		is.NoErr(x.read(t.Context(), ReasonReader))
+		is.NoErr(x.readAnswer(t.Context(), ReasonReader))
 		to, _ = x.CompleteTo()
 		is.Equal(to, complete)
 	}
@@ -94,7 +94,7 @@
 			x.feed.putMany(450)
 			x.feed.put("t/1", "2")
 			for range 12 {
-				is.NoErr(x.read(t.Context(), ReasonReader))
+				is.NoErr(x.readAnswer(t.Context(), ReasonReader))
 				e, ok := x.target("1")
 				is.True(ok)
 				is.True(!e.Gone)
@@ -120,10 +120,63 @@
 	reader.feed.pageEvents = 100
 	reader.feed.putMany(250)
 	advanceReader(5 * time.Second)
-	is.NoErr(reader.read(context.Background(), ReasonReader))
+	is.NoErr(reader.readAnswer(context.Background(), ReasonReader))
 	is.Equal(reader.peers.sent[0].LagMS, int64(5000))
 	for range 2 {
-		is.NoErr(reader.read(context.Background(), ReasonReader))
+		is.NoErr(reader.readAnswer(context.Background(), ReasonReader))
 	}
 	is.Equal(reader.peers.sent[2].LagMS, int64(0))
 }
+
+// Guards against a host that waits for its next poll while changes are left unread: it
+// would send new flows to targets that have long said that they leave.
+func TestReaderReadsOnWhileItIsBehind(t *testing.T) {
+	is := is.New(t)
+	x, advance := newSteppedFixture(t)
+	x.feed.pageEvents = 100
+	x.feed.putMany(1000)
+	x.feed.put("t/1", "2")
+	last := x.feed.index
+	advance(time.Second)
+	is.NoErr(x.read(t.Context(), ReasonReader))
+	is.Equal(x.pos.Index, last)
+	to, _ := x.CompleteTo()
+	is.Equal(to, x.cfg.Clock())
+	is.Equal(len(x.peers.sent), 11) // the zone gets each of the answers
+	is.Equal(x.Stats().Calls[Call{store.OpChanges, ReasonBehind}], uint64(10))
+	is.Equal(x.feed.heads, 1)
+	is.NoErr(x.read(t.Context(), ReasonReader))
+	is.Equal(x.Stats().Calls[Call{store.OpChanges, ReasonBehind}], uint64(10))
+}
+
+// Guards against a call for changes that can't have been left out: the position of the
+// store shows that a long answer was undivided.
+func TestUndividedAnswerIsNotReadOn(t *testing.T) {
+	is := is.New(t)
+	x, _ := newSteppedFixture(t)
+	x.feed.putMany(1000)
+	_, before := x.feed.calls()
+	is.NoErr(x.read(t.Context(), ReasonReader))
+	_, after := x.feed.calls()
+	is.Equal(after-before, 1)
+	is.Equal(x.feed.heads, 1)
+}
+
+// Guards against configurations that are decoded although a later one of the same
+// answer replaces them.
+func TestReplacedConfigurationsAreNotDecoded(t *testing.T) {
+	is := is.New(t)
+	x, _ := newSteppedFixture(t)
+	for range 5 {
+		x.feed.put("o/config", "invalid")
+	}
+	x.feed.put("o/out/a", "")
+	x.feed.put("o/config", "longer")
+	counted := &countingDecoder{Decoder: x.cfg.Decoder}
+	x.cfg.Decoder = counted
+	is.NoErr(x.read(t.Context(), ReasonReader))
+	is.Equal(counted.operator, 2)
+	is.Equal(x.lastView().Config.Version, uint64(len("longer")))
+	is.True(x.lastView().ZonesOut["a"])
+	is.Equal(len(x.peers.sent[0].Changes), 2)
+}
--- a/transport/follow/read.go
+++ b/transport/follow/read.go
@@ -10,9 +10,40 @@
 	"github.com/jujubehaven/jujubehaven/protocol/gossip"
 )
 
-// read makes one call to the store, for all entries or for the changes since
-// the last call.
+// read reads all entries of the store, or the changes since the last read. If an
+// answer does not hold all of these, it reads on at once.
 func (f *Follower) read(ctx context.Context, reason Reason) error {
+	err := f.readAnswer(ctx, reason)
+	for err == nil && ctx.Err() == nil && f.hasUnread() {
+		err = f.readOn(ctx, reason)
+	}
+	return err
+}
+
+// hasUnread reports whether the store holds changes that the last answer left out, or
+// may do so.
+func (f *Follower) hasUnread() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.continuesList() && f.reach.unread(f.pos)
+}
+
+// readOn reads what the last answer left out, if anything. The other hosts of the zone
+// get it as what was read for a reason.
+func (f *Follower) readOn(ctx context.Context, reason Reason) error {
+	if err := f.readHead(ctx, ReasonBehind); err != nil || !f.hasUnread() {
+		return err
+	}
+	f.mu.Lock()
+	after := f.pos
+	f.countCall(ReasonBehind)
+	f.mu.Unlock()
+	return f.readChanges(ctx, after, 0, reason)
+}
+
+// readAnswer makes one call to the store, for all entries or for the changes since
+// the last call.
+func (f *Follower) readAnswer(ctx context.Context, reason Reason) error {
 	f.mu.Lock()
 	if f.relistDue() {
 		f.listed = false
@@ -21,10 +52,13 @@
 	listed, after, wait := f.continuesList(), f.pos, f.watchTime()
 	f.countCall(reason)
 	f.mu.Unlock()
-	if listed {
-		return f.readChanges(ctx, after, wait, reason)
+	if !listed {
+		return f.list(ctx, reason)
+	}
+	if err := f.readHead(ctx, reason); err != nil {
+		return err
 	}
-	return f.list(ctx, reason)
+	return f.readChanges(ctx, after, wait, reason)
 }
 
 // continuesList reports whether the next call to the store reads changes, not a list.
@@ -34,9 +68,6 @@
 // passed, and sends them to the other hosts of the zone if this host is their
 // reader.
 func (f *Follower) readChanges(ctx context.Context, after store.Position, wait time.Duration, reason Reason) error {
-	if err := f.readHead(ctx, reason); err != nil {
-		return err
-	}
 	start := f.cfg.Clock()
 	got, err := f.cfg.Feed.Changes(ctx, "", after.Index, wait)
 	if err != nil {
