Reset flows at a target that is gone only if no next incarnation can have them

What callers saw: a target leaves and starts again under its ID while the host of its zone is being stopped.

Change: such a flow asks the same question as a flow without a route: it is reset once this host has read all that was written before it first saw the flow open. Flows that it has seen for longer are reset at once, as before. That the store may lack entries after an outage delays only tokens of no target, not routes or targets known to be gone.

TestGoneTarget now says that the host has read up to the removal.

--- a/coordination/steering/absence.go
+++ b/coordination/steering/absence.go
@@ -3,13 +3,15 @@
 import (
 	"time"
 
+	"github.com/jujubehaven/jujubehaven/coordination/fleet"
 	"github.com/jujubehaven/jujubehaven/protocol/packet"
 	"github.com/jujubehaven/jujubehaven/protocol/verdict"
 )
 
-// Packets of open flows whose route or target this host does not know. Hosts read
-// the store independently, so another host may have opened the flow by a change that
-// this one has not read yet. The route and the target were written before the flow
+// Packets of open flows whose route or target this host does not know, or whose target
+// is gone as far as it knows: the target may have started again under its key. Hosts
+// read the store independently, so another host may have opened the flow by a change
+// that this one has not read yet. The route and the target were written before the flow
 // opened, so they are absent for certain once this host has read everything that was
 // written before it first saw the flow. Until then the packets are dropped and the
 // store is read; their callers retransmit them. After that the flow is reset, without
@@ -32,7 +34,8 @@
 }
 
 // handleAbsent decides about a packet of an open flow whose destination is absent
-// from this host's view: its route or, by its token, its target.
+// from this host's view: its route or, by its token, its target. a.Key names the target
+// if it is known.
 func (s *Steering) handleAbsent(now time.Duration, p *Segment, a *Action, cause Cause) {
 	a.Cause = cause
 	if p.Class == packet.Reset {
@@ -46,9 +49,10 @@
 	switch {
 	case f.firstSeen == now:
 		s.refresh()
-	case s.hasReadUpTo(f.firstSeen):
+	case s.absentUntil(f.firstSeen, cause):
 		s.refuse(p, a, cause, verdict.MayHaveRun)
 		delete(s.absent, p.Flow)
+		s.removeFlow(p.Flow)
 	}
 }
 
@@ -73,29 +77,31 @@
 	}
 }
 
-// hasReadUpTo reports whether this host has read everything that was written to the
-// store until a time.
-func (s *Steering) hasReadUpTo(at time.Duration) bool {
+// absentUntil reports whether this host has read everything that was written to the
+// store until a time, so that what its view lacks did not exist then. A target may be
+// without an entry for a while after an outage of the store, unlike a route or a target
+// that is known to be gone.
+func (s *Steering) absentUntil(at time.Duration, cause Cause) bool {
 	if s.cfg.CompleteTo == nil {
 		return false
 	}
-	complete, ok := s.cfg.CompleteTo()
-	return ok && complete > at
+	complete, settled := s.cfg.CompleteTo()
+	return complete > at && (settled || cause != CauseUnknownToken)
 }
 
 // resolveAbsent resets the flows whose destination is absent for certain, and forgets
 // those whose destination is known by now or that have sent nothing for a while.
 func (s *Steering) resolveAbsent(now time.Duration, reset func(*Segment, *Action)) {
 	for key, f := range s.absent {
-		cause, absent := s.destinationAbsent(key, f.token)
+		cause, target, absent := s.destinationAbsent(key, f.token)
 		switch {
 		case !absent || now >= f.lastSeen+absentRetention:
 			delete(s.absent, key)
-		case s.hasReadUpTo(f.firstSeen):
+		case s.absentUntil(f.firstSeen, cause):
 			s.counts.Resets[cause]++
 			reset(
 				&Segment{Flow: key, Class: packet.Data, Token: f.token, Ack: f.ack},
-				&Action{Kind: Reset, Cause: cause, Run: verdict.MayHaveRun},
+				&Action{Kind: Reset, Cause: cause, Key: target, Run: verdict.MayHaveRun},
 			)
 			delete(s.absent, key)
 			s.removeFlow(key)
@@ -105,14 +111,17 @@
 	}
 }
 
-// destinationAbsent reports whether this host knows no destination for a flow, and
-// whether its route or its target is what is absent.
-func (s *Steering) destinationAbsent(key packet.Flow, token Token) (Cause, bool) {
+// destinationAbsent reports whether this host knows no destination for a flow, what of
+// it is absent, and the key of a target that is gone.
+func (s *Steering) destinationAbsent(key packet.Flow, token Token) (Cause, fleet.TargetKey, bool) {
+	t := s.tokens[token]
 	switch {
 	case s.routes[key.Service] == nil:
-		return CauseNoRoute, true
-	case s.tokens[token] == nil:
-		return CauseUnknownToken, true
+		return CauseNoRoute, "", true
+	case t == nil:
+		return CauseUnknownToken, "", true
+	case s.gone(t):
+		return CauseTargetGone, t.entry.Key, true
 	}
-	return CauseKnown, false
+	return CauseKnown, "", false
 }
--- a/coordination/steering/absence_test.go
+++ b/coordination/steering/absence_test.go
@@ -150,3 +150,77 @@
 	is.Equal(w.refreshes, 0)
 	is.Equal(len(w.absent), 0)
 }
+
+// restarted records in the view that a target started again under its key.
+func (w *fixture) restarted(key fleet.TargetKey) {
+	e := w.entry(key)
+	e.Gone, e.Since, e.Started = false, 0, e.Started+1
+	w.apply()
+}
+
+// Guards against a reset of a flow that is open at a target which started again under
+// its ID, by a host that has only read that the former one left and gets the flow's
+// packets when another host stops.
+func TestOpenFlowAtARestartedTargetIsKept(t *testing.T) {
+	is := is.New(t)
+	w, other := newFixture(t), newFixture(t)
+	c, key := other.established(1, feeds)
+	w.entry(key).Gone, w.entry(key).Since = true, w.now
+	w.apply()
+	w.complete, w.completeKnown = w.now, true
+	w.now += 400 * time.Millisecond
+	c.w = w
+	a := c.sendRequest()
+	is.Equal(a.Kind, Drop)
+	is.Equal(a.Cause, CauseTargetGone)
+	is.Equal(w.refreshes, 1)
+	w.restarted(key)
+	w.complete = w.now + time.Millisecond
+	w.now += sweepInterval
+	w.Tick(w.now, w.recordReset)
+	is.Equal(len(w.resets), 0)
+	a = c.sendRequest()
+	is.Equal(a.Kind, Forward)
+	is.Equal(a.Key, key)
+}
+
+// Guards against a reset of a flow that this host has sent to a target which it did not
+// know to have been replaced under its ID: it reads of the end of the former one first.
+func TestOpenFlowAtATargetThatWasReplacedUnnoticed(t *testing.T) {
+	is := is.New(t)
+	w, other := newFixture(t), newFixture(t)
+	c, key := other.established(1, feeds)
+	w.complete, w.completeKnown = w.now, true
+	w.now += 400 * time.Millisecond
+	c.w = w
+	is.Equal(c.sendRequest().Kind, Forward) // at the address of both
+	w.now += 100 * time.Millisecond
+	w.entry(key).Gone, w.entry(key).Since = true, w.now
+	w.apply()
+	w.complete += 200 * time.Millisecond // a part of what is written
+	is.Equal(c.sendRequest().Kind, Drop)
+	w.Tick(w.now, w.recordReset)
+	is.Equal(len(w.resets), 0)
+	w.restarted(key)
+	is.Equal(c.sendRequest().Kind, Forward)
+}
+
+// Guards against a flow at a target that is gone whose caller waits for its deadline, if
+// this host has not seen the flow before: one read of the store suffices for the reset.
+func TestUnseenFlowAtAGoneTargetIsResetAfterOneRead(t *testing.T) {
+	is := is.New(t)
+	w, other := newFixture(t), newFixture(t)
+	c, key := other.established(1, feeds)
+	w.entry(key).Gone, w.entry(key).Since = true, w.now
+	w.apply()
+	w.complete = w.now
+	w.now += 400 * time.Millisecond
+	c.w = w
+	is.Equal(c.sendRequest().Kind, Drop)
+	w.complete = w.now + time.Millisecond
+	w.now += sweepInterval
+	w.Tick(w.now, w.recordReset)
+	is.Equal(len(w.resets), 1)
+	is.Equal(w.resets[0].action.Cause, CauseTargetGone)
+	is.Equal(w.resets[0].action.Key, key)
+}
--- a/coordination/steering/observe.go
+++ b/coordination/steering/observe.go
@@ -30,6 +30,10 @@
 	return t.health.lastProgress > t.entry.Since
 }
 
+// gone reports whether packets can't reach the target any more as far as this host
+// knows.
+func (s *Steering) gone(t *target) bool { return t.entry.Gone && !s.answeredSinceGone(t) }
+
 // observe updates the state of an open flow and of its target from a packet.
 func (s *Steering) observe(now time.Duration, p *Segment, r *route, f *flow, a *Action) {
 	t := f.target
--- a/coordination/steering/silence_test.go
+++ b/coordination/steering/silence_test.go
@@ -10,8 +10,8 @@
 	"github.com/jujubehaven/jujubehaven/protocol/verdict"
 )
 
-// A flow whose target is gone is reset at once, unless callers still see
-// answers of the target.
+// A flow whose target is gone is reset at once if it was open before all that this host
+// has read, unless callers still see answers of the target.
 func TestGoneTarget(t *testing.T) {
 	is := is.New(t)
 	w := newFixture(t)
@@ -19,6 +19,7 @@
 	w.now += time.Second
 	w.entry(key).Gone, w.entry(key).Since = true, w.now
 	w.apply()
+	w.complete = w.now
 	a := c.sendRequest()
 	is.Equal(a.Kind, Reset)
 	is.Equal(a.Cause, CauseTargetGone)
--- a/coordination/steering/steering.go
+++ b/coordination/steering/steering.go
@@ -210,10 +210,9 @@
 		}
 		return
 	}
-	if t.entry.Gone && !s.answeredSinceGone(t) {
-		s.refuse(p, a, CauseTargetGone, verdict.MayHaveRun)
+	if s.gone(t) {
 		a.Key = t.entry.Key
-		s.removeFlow(p.Flow)
+		s.handleAbsent(now, p, a, CauseTargetGone)
 		return
 	}
 	if f == nil {
