List the store when the changes make an answer that is too long

What callers saw: after 25 large configurations in 1.5 s no host reads anything for 20 s, if the store puts all changes into one answer to a watch.

Cause: an answer over 4 MiB was an error that the follower retried as one that passes, and as an outage of the store. The changes only grow, so each try failed until the history was lost.

Change: the error is of a kind of its own, and the host lists all entries at once, in pages that the store bounds. The store does not count as lost. A list that is too long is retried with delays as before.

--- a/coordination/store/error.go
+++ b/coordination/store/error.go
@@ -36,6 +36,9 @@
 	// Outdated means that the response describes an older epoch of the store than
 	// one that the caller knows; it says nothing about the store's contents.
 	Outdated
+	// TooLong means that the answer is longer than the client reads. The same call
+	// fails again as long as it has that answer.
+	TooLong
 )
 
 // String returns the name used in logs and metrics.
@@ -61,6 +64,8 @@
 		return "overloaded"
 	case Outdated:
 		return "outdated"
+	case TooLong:
+		return "too-long"
 	}
 	return "unknown"
 }
--- a/coordination/store/store.go
+++ b/coordination/store/store.go
@@ -118,7 +118,8 @@
 	List(ctx context.Context, prefix Key) (Snapshot, error)
 	// Changes returns the changes after an index once there are any, or none when
 	// wait has passed. Its error is of kind HistoryLost if the store no longer
-	// has some of them.
+	// has some of them, and of kind TooLong if the client can't read so many: List
+	// returns the state that they lead to.
 	// An answer may hold only the first ones: it then ends at the index of its last
 	// change.
 	Changes(ctx context.Context, prefix Key, after Index, wait time.Duration) (Changes, error)
--- a/transport/follow/calls.go
+++ b/transport/follow/calls.go
@@ -18,6 +18,9 @@
 	ReasonHistoryLost Reason = "history-lost"
 	// ReasonBehind continues a read whose answer left out changes, or may have.
 	ReasonBehind Reason = "behind"
+	// ReasonTooLong lists all entries because the answer with the changes that this host
+	// lacks is longer than it reads.
+	ReasonTooLong Reason = "too-long"
 	// ReasonNoFeed is a call because no feed of the zone's reader arrived in time.
 	ReasonNoFeed Reason = "no-feed"
 	// ReasonMissedFeed is a call because a feed follows one that did not arrive.
--- a/transport/follow/follow.go
+++ b/transport/follow/follow.go
@@ -255,6 +255,9 @@
 		case store.IsKind(err, store.HistoryLost):
 			f.recordFailure(err)
 			reason = ReasonHistoryLost
+		case isTooLong(err):
+			f.recordTooLong(err)
+			reason = ReasonTooLong
 		default:
 			f.recordFailure(err)
 			if !f.fetchTable() {
--- a/transport/follow/progress_test.go
+++ b/transport/follow/progress_test.go
@@ -180,3 +180,12 @@
 	is.True(x.lastView().ZonesOut["a"])
 	is.Equal(len(x.peers.sent[0].Changes), 2)
 }
+
+// Guards against a read that is repeated without a delay because a list is too long, as
+// no other call can succeed in its place.
+func TestOnlyTooLongChangesAreListed(t *testing.T) {
+	is := is.New(t)
+	is.True(isTooLong(&store.Error{Op: store.OpChanges, Kind: store.TooLong}))
+	is.True(!isTooLong(&store.Error{Op: store.OpList, Kind: store.TooLong}))
+	is.True(!isTooLong(&store.Error{Op: store.OpChanges, Kind: store.Unavailable}))
+}
--- a/transport/follow/read.go
+++ b/transport/follow/read.go
@@ -101,6 +101,24 @@
 	}
 }
 
+// isTooLong reports whether the changes that were asked for make an answer that is too
+// long. It would be again, but all entries come in pages.
+func isTooLong(err error) bool {
+	var e *store.Error
+	return errors.As(err, &e) && e.Kind == store.TooLong && e.Op == store.OpChanges
+}
+
+// recordTooLong records an answer that was too long. The next read is a full list. The
+// store has not failed.
+func (f *Follower) recordTooLong(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.stats.Failures[store.TooLong]++
+	f.listed = false
+	f.recordProgress()
+	f.cfg.Log.Warn().Str("event", "store_answer_too_long").Err(err).Send()
+}
+
 // recordFailure records a failed call. If the store's history was lost, the next
 // read is a full list.
 func (f *Follower) recordFailure(err error) {
