Wait for the store to settle before a route counts as absent

Cause: a related path of the resets by hosts that have not read. The store returns from a copy or an outage without entries that hold, and they are written again within 2 s. A host that starts then and lists the store has read all of it, and would reset an open flow on a route that only the lost version has.

Change: all three wait until the calls of the host have settled, unless the host has seen the flow while its destination was in the view: what it then has read to be dropped or gone is so, whatever the store lacks.

Tests: TestUnseenFlowAtAGoneTargetIsResetAfterOneRead expects no reset before the calls have settled and fails on the commit before (0 resets expected, 1 made), and TestFlowOnADroppedRouteIsResetWhileTheStoreFails holds the other side.

--- a/coordination/steering/absence.go
+++ b/coordination/steering/absence.go
@@ -29,6 +29,9 @@
 type absentFlow struct {
 	// firstSeen and lastSeen are when the first and the last of its packets arrived.
 	firstSeen, lastSeen time.Duration
+	// hadDestination is set if this host has seen the flow while its destination was in
+	// the view.
+	hadDestination bool
 	token               Token
 	ack                 uint32
 }
@@ -49,7 +52,7 @@
 	switch {
 	case f.firstSeen == now:
 		s.refresh()
-	case s.absentUntil(f.firstSeen, cause):
+	case s.isAbsent(f, cause):
 		s.refuse(p, a, cause, verdict.MayHaveRun)
 		delete(s.absent, p.Flow)
 		s.removeFlow(p.Flow)
@@ -64,7 +67,7 @@
 	}
 	f := &absentFlow{firstSeen: now, token: p.Token}
 	if known := s.flows[p.Flow]; known != nil && known.open && !known.closed {
-		f.firstSeen = known.openSince
+		f.firstSeen, f.hadDestination = known.openSince, true
 	}
 	s.absent[p.Flow] = f
 	return f
@@ -77,16 +80,18 @@
 	}
 }
 
-// absentUntil reports whether this host has read everything that was written to the
-// store until a time, so that what its view lacks did not exist then. A target may be
-// without an entry for a while after an outage of the store, unlike a route or a target
-// that is known to be gone.
-func (s *Steering) absentUntil(at time.Duration, cause Cause) bool {
+// isAbsent reports whether this host has read everything that was written to the store
+// before it first saw a flow, so that what its view lacks did not exist then. After an
+// outage of the store, or its return from a copy, entries may be missing from it for a
+// while. That does not matter for what this host knows to have been dropped or to be
+// gone.
+func (s *Steering) isAbsent(f *absentFlow, cause Cause) bool {
 	if s.cfg.CompleteTo == nil {
 		return false
 	}
 	complete, settled := s.cfg.CompleteTo()
-	return complete > at && (settled || cause != CauseUnknownToken)
+	ended := f.hadDestination && cause != CauseUnknownToken
+	return complete > f.firstSeen && (settled || ended)
 }
 
 // resolveAbsent resets the flows whose destination is absent for certain, and forgets
@@ -97,7 +102,7 @@
 		switch {
 		case !absent || now >= f.lastSeen+absentRetention:
 			delete(s.absent, key)
-		case s.absentUntil(f.firstSeen, cause):
+		case s.isAbsent(f, cause):
 			s.counts.Resets[cause]++
 			reset(
 				&Segment{Flow: key, Class: packet.Data, Token: f.token, Ack: f.ack},
--- a/coordination/steering/absence_test.go
+++ b/coordination/steering/absence_test.go
@@ -102,6 +102,23 @@
 	is.Equal(a.Key, key)
 }
 
+// Guards against a flow on a dropped route that is kept because this host's calls to the
+// store have failed lately, although it has read the drop and had seen the flow before.
+func TestFlowOnADroppedRouteIsResetWhileTheStoreFails(t *testing.T) {
+	is := is.New(t)
+	w := newFixture(t)
+	c, _ := w.established(1, feeds)
+	w.now += time.Second
+	w.view.Config.Version = 2
+	w.view.Config.Routes = w.view.Config.Routes[1:]
+	w.apply()
+	w.complete, w.completeKnown = w.now, false
+	a := c.sendRequest()
+	is.Equal(a.Kind, Reset)
+	is.Equal(a.Cause, CauseNoRoute)
+	is.Equal(w.caller(2, feeds).confirm().Kind, Drop) // not seen before
+}
+
 // Guards against reads of the store that are not repeated while a flow waits for one,
 // since a request for a read may be refused by its rate limit.
 func TestReadIsRequestedUntilItIsComplete(t *testing.T) {
@@ -220,6 +237,10 @@
 	w.complete = w.now + time.Millisecond
 	w.now += sweepInterval
 	w.Tick(w.now, w.recordReset)
+	is.Equal(len(w.resets), 0) // the store may lack an entry after an outage
+	w.completeKnown = true
+	w.now += sweepInterval
+	w.Tick(w.now, w.recordReset)
 	is.Equal(len(w.resets), 1)
 	is.Equal(w.resets[0].action.Cause, CauseTargetGone)
 	is.Equal(w.resets[0].action.Key, key)
