--- a/coordination/steering/absence.go
+++ b/coordination/steering/absence.go
@@ -32,8 +32,8 @@
 	// hadDestination is set if this host has seen the flow while its destination was in
 	// the view.
 	hadDestination bool
-	token               Token
-	ack                 uint32
+	token          Token
+	ack            uint32
 }
 
 // handleAbsent decides about a packet of an open flow whose destination is absent
