End reading on where the store has no further changes

Change: an answer without changes ends the read; a position before the host's own is the error that changes from there would be; sizes are learned only if the host still is where the answer ended. Reading on waits as any watch, in case a store takes no wait of 0.

Tests: TestPositionWithoutChangesIsRead, TestPositionBeforeOwnIsAnError and TestAnswerBeforeAFeedIsNotLearned, written with the change; not run without it.

--- a/transport/follow/fixture_test.go
+++ b/transport/follow/fixture_test.go
@@ -34,6 +34,8 @@
 	heads   int
 	// pageEvents is the maximum number of changes in an answer, 0 for no limit.
 	pageEvents int
+	// headLead is by how many revisions the store's position is past its last change.
+	headLead store.Index
 }
 
 func (f *feed) List(context.Context, store.Key) (store.Snapshot, error) {
@@ -74,7 +76,7 @@
 	if f.err != nil {
 		return store.Position{}, f.err
 	}
-	return store.Position{Epoch: f.epoch, Index: f.index}, nil
+	return store.Position{Epoch: f.epoch, Index: f.index + f.headLead}, nil
 }
 
 func (f *feed) put(key, value string) store.Change {
--- a/transport/follow/progress.go
+++ b/transport/follow/progress.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/jujubehaven/jujubehaven/coordination/store"
 )
 
@@ -13,7 +15,8 @@
 // was read before the call, or if it is no longer than answers that did.
 
 const (
-	// wholeEvents and wholeBytes are the size up to which no store divides an answer.
+	// wholeEvents and wholeBytes are the size of answers that no store is expected to
+	// divide.
 	wholeEvents = 64
 	wholeBytes  = 64 << 10
 )
@@ -62,8 +65,9 @@
 	// newest is the newest position that is known to exist.
 	newest store.Position
 	// whole is the size of the largest answer known to be undivided, last that of the
-	// last answer.
+	// last answer, which ended at lastTo.
 	whole, last answerSize
+	lastTo      store.Position
 	// doubtful is set while the last answer may have been divided.
 	doubtful bool
 	// verifyNext is set if the next answer is to be compared with the store's position,
@@ -118,10 +122,10 @@
 	if pos.Before(head) {
 		return false
 	}
-	if r.doubtful {
+	if r.doubtful && pos == r.lastTo {
 		r.learn(r.last)
-		r.doubtful = false
 	}
+	r.doubtful = false
 	return true
 }
 
@@ -131,7 +135,11 @@
 func (r *reach) answered(from, to store.Position, start time.Duration, list []store.Change) time.Duration {
 	wasDoubtful := r.doubtful
 	r.see(to)
-	r.last = sizeAfter(list, 0)
+	r.last, r.lastTo = sizeAfter(list, 0), to
+	if !from.Before(to) { // no changes after from, whatever the store's position
+		r.head, r.headAt, r.doubtful = to, start, false
+		return start
+	}
 	crossesHead := r.headAt > 0 && from.Epoch == r.head.Epoch && from.Before(r.head)
 	switch {
 	case to.Before(r.head) && from.Epoch == r.head.Epoch:
@@ -140,7 +148,7 @@
 			r.whole = answerSize{} // the store divides answers of this size
 		}
 		return 0
-	case len(list) == 0 || r.last.within(r.whole):
+	case r.last.within(r.whole):
 		r.doubtful = false
 		r.verifyNext = wasDoubtful
 		return start
@@ -213,6 +221,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.resolveEpoch(&head.Epoch)
+	if err := f.checkHead(head); err != nil {
+		return err
+	}
 	if f.reach.setHead(head, start, f.pos) {
 		f.completeTo = max(f.completeTo, start)
 		f.publish()
@@ -220,6 +231,22 @@
 	return nil
 }
 
+// checkHead returns an error if the store's position is not of the history that this
+// host knows. The caller holds f.mu.
+func (f *Follower) checkHead(head store.Position) error {
+	if !head.Before(f.pos) {
+		return nil
+	}
+	kind := store.HistoryLost
+	if head.Epoch < f.pos.Epoch {
+		kind = store.Outdated
+	}
+	return &store.Error{
+		Op: store.OpHead, Kind: kind, Epoch: head.Epoch,
+		Cause: errors.Newf("index %d of epoch %d is before index %d of epoch %d", head.Index, head.Epoch, f.pos.Index, f.pos.Epoch),
+	}
+}
+
 // recordAnswer records an answer to a watch and returns the time up to which all writes
 // are known, 0 if the answer does not change it. The caller holds f.mu.
 func (f *Follower) recordAnswer(from, to store.Position, start time.Duration, list []store.Change) time.Duration {
--- a/transport/follow/progress_test.go
+++ b/transport/follow/progress_test.go
@@ -189,3 +189,52 @@
 	is.True(!isTooLong(&store.Error{Op: store.OpList, Kind: store.TooLong}))
 	is.True(!isTooLong(&store.Error{Op: store.OpChanges, Kind: store.Unavailable}))
 }
+
+// Guards against a host that asks for changes again and again because the store's
+// position is past its last change.
+func TestPositionWithoutChangesIsRead(t *testing.T) {
+	is := is.New(t)
+	x, advance := newSteppedFixture(t)
+	x.feed.pageEvents = 100
+	x.feed.putMany(150)
+	x.feed.headLead = 7
+	advance(time.Second)
+	_, before := x.feed.calls()
+	is.NoErr(x.read(t.Context(), ReasonReader))
+	_, after := x.feed.calls()
+	is.Equal(after-before, 3) // two answers with changes and an empty one
+	to, _ := x.CompleteTo()
+	is.Equal(to, x.cfg.Clock())
+}
+
+// Guards against conclusions from the position of a store that has returned from an older
+// copy: it does not say how far this host has read.
+func TestPositionBeforeOwnIsAnError(t *testing.T) {
+	is := is.New(t)
+	x, advance := newSteppedFixture(t)
+	listed := x.cfg.Clock()
+	advance(time.Second)
+	x.feed.putMany(100)
+	is.NoErr(x.readAnswer(t.Context(), ReasonReader))
+	x.feed.index = 1
+	is.True(store.IsKind(x.readHead(t.Context(), ReasonReader), store.HistoryLost))
+	x.pos.Epoch = 2
+	x.feed.epoch = 1
+	is.True(store.IsKind(x.readHead(t.Context(), ReasonReader), store.Outdated))
+	to, _ := x.CompleteTo()
+	is.Equal(to, listed)
+}
+
+// Guards against an answer that counts as undivided because a feed has filled the gap
+// after it.
+func TestAnswerBeforeAFeedIsNotLearned(t *testing.T) {
+	is := is.New(t)
+	x, advance := newSteppedFixture(t)
+	x.feed.pageEvents = 100
+	x.feed.putMany(150)
+	advance(time.Second)
+	is.NoErr(x.readAnswer(t.Context(), ReasonReader))
+	x.ApplyFeed(&gossip.Feed{From: x.pos.Index, To: x.feed.index})
+	is.NoErr(x.readHead(t.Context(), ReasonReader))
+	is.Equal(x.reach.whole, answerSize{wholeEvents, wholeBytes})
+}
--- a/transport/follow/read.go
+++ b/transport/follow/read.go
@@ -35,10 +35,10 @@
 		return err
 	}
 	f.mu.Lock()
-	after := f.pos
+	after, wait := f.pos, f.watchTime()
 	f.countCall(ReasonBehind)
 	f.mu.Unlock()
-	return f.readChanges(ctx, after, 0, reason)
+	return f.readChanges(ctx, after, wait, reason)
 }
 
 // readAnswer makes one call to the store, for all entries or for the changes since
