--- a/coordination/steering/absence.go
+++ b/coordination/steering/absence.go
@@ -18,8 +18,9 @@
 // waiting for its next packet.
 
 const (
-	// maxAbsentFlows bounds the flows without a known destination that are recorded.
-	maxAbsentFlows = 1000
+	// maxAbsentFlows bounds the flows without a known destination that are recorded. It is
+	// above the number of flows that a host is expected to forward.
+	maxAbsentFlows = 1 << 14
 	// absentRetention is how long such a flow is kept after its last packet: longer
 	// than the longest interval between a caller's retransmissions.
 	absentRetention = 5 * time.Second
@@ -63,7 +64,7 @@
 // seen.
 func (s *Steering) recordAbsent(now time.Duration, p *Segment) *absentFlow {
 	if len(s.absent) >= maxAbsentFlows {
-		clear(s.absent) // flows still in use are recorded again by their next packet
+		s.forgetOneAbsent()
 	}
 	f := &absentFlow{firstSeen: now, token: p.Token}
 	if known := s.flows[p.Flow]; known != nil && known.open && !known.closed {
@@ -73,6 +74,15 @@
 	return f
 }
 
+// forgetOneAbsent makes room for another flow. A flow that is still in use is recorded
+// again by its next packet.
+func (s *Steering) forgetOneAbsent() {
+	for key := range s.absent {
+		delete(s.absent, key)
+		return
+	}
+}
+
 // refresh starts a read of the store.
 func (s *Steering) refresh() {
 	if s.cfg.Refresh != nil {
--- a/coordination/steering/tokens_test.go
+++ b/coordination/steering/tokens_test.go
@@ -54,6 +54,8 @@
 	w.now += time.Second
 	w.complete = w.now
 	is.Equal(c.sendRequest().Kind, Reset)
+	w.Tick(w.now, w.recordReset)
+	is.Equal(len(w.resets), maxAbsentFlows-1) // but for the one that made room
 }
 
 func TestTokensOfTwoTargetsThatCollide(t *testing.T) {
