--- a/coordination/steering/absence_test.go
+++ b/coordination/steering/absence_test.go
@@ -16,6 +16,15 @@
 	return fleet.Route{Endpoint: endpoint("198.18.0.7:443"), Shares: []fleet.Share{{Service: "book", Weight: 1}}}
 }
 
+// newReadFixture returns a fixture that has read everything up to a while ago.
+func newReadFixture(t *testing.T) *fixture {
+	t.Helper()
+	w := newFixture(t)
+	w.complete, w.completeKnown = w.now, true
+	w.now += 400 * time.Millisecond
+	return w
+}
+
 // movedFlow returns a flow on an added route that another host has opened and whose
 // packets arrive at this host, which has not read the route yet.
 func (w *fixture) movedFlow(t *testing.T) *caller {
@@ -33,9 +42,7 @@
 // has not read the configuration yet and gets the flow's packets when another one stops.
 func TestOpenFlowOnAnUnreadRouteIsKept(t *testing.T) {
 	is := is.New(t)
-	w := newFixture(t)
-	w.complete, w.completeKnown = w.now, true
-	w.now += 400 * time.Millisecond
+	w := newReadFixture(t)
 	c := w.movedFlow(t)
 	a := c.sendRequest()
 	is.Equal(a.Kind, Drop)
@@ -60,9 +67,7 @@
 // deadline: one read of the store suffices for the reset, without a further packet.
 func TestOpenFlowWithoutARouteIsResetAfterOneRead(t *testing.T) {
 	is := is.New(t)
-	w := newFixture(t)
-	w.complete, w.completeKnown = w.now, true
-	w.now += 400 * time.Millisecond
+	w := newReadFixture(t)
 	c := w.movedFlow(t)
 	is.Equal(c.sendRequest().Kind, Drop)
 	w.complete = w.now + time.Millisecond
@@ -123,9 +128,7 @@
 // since a request for a read may be refused by its rate limit.
 func TestReadIsRequestedUntilItIsComplete(t *testing.T) {
 	is := is.New(t)
-	w := newFixture(t)
-	w.complete, w.completeKnown = w.now, true
-	w.now += 400 * time.Millisecond
+	w := newReadFixture(t)
 	c := w.movedFlow(t)
 	c.sendRequest()
 	for n := range 3 {
