Don't take full answers of the store for undivided ones

What callers would see: after a storm of configurations a host lags behind the store again, and new flows go to targets that have drained for over 5 s.

Cause: an answer counted as undivided if it was no longer than one that was so. In a storm answers come in whole configurations, and an undivided answer of four has the length of a full one.

Change: if a change makes up more than a sixteenth of an answer, one more of its length must have fitted. Answers of many small changes are judged as before.

--- a/transport/follow/progress.go
+++ b/transport/follow/progress.go
@@ -12,26 +12,32 @@
 // How far a host has read. A store may divide a long answer to a watch, which does not
 // say so: the caller continues from its last revision. An answer therefore holds all
 // changes up to the call only if it is empty, if it reaches a position of the store that
-// was read before the call, or if it is no longer than answers that did.
+// was read before the call, or by its size: if it is no longer than answers that did,
+// and did not end where one more long change had no room.
 
 const (
-	// wholeEvents and wholeBytes are the size of answers that no store is expected to
+	// shortEvents and shortBytes are the size of answers that no store is expected to
 	// divide.
-	wholeEvents = 64
-	wholeBytes  = 64 << 10
+	shortEvents = 64
+	shortBytes  = 64 << 10
+	// longShare is the share of an answer, as its inverse, from which on a change is
+	// long: the next one may have had no room in an answer that is otherwise short.
+	longShare = 16
 )
 
 // answerSize is the size of an answer to a watch, or of a part of one.
 type answerSize struct {
 	events int
-	// bytes is the length of the keys and values.
-	bytes int
+	// bytes is the length of the keys and values, longest that of the longest change.
+	bytes, longest int
 }
 
 // add adds a change to the size.
 func (s *answerSize) add(c *store.Change) {
+	n := len(c.Key) + len(c.Value)
 	s.events++
-	s.bytes += len(c.Key) + len(c.Value)
+	s.bytes += n
+	s.longest = max(s.longest, n)
 }
 
 // within reports whether the size is not above another one.
@@ -39,9 +45,14 @@
 	return s.events <= limit.events && s.bytes <= limit.bytes
 }
 
+// withOneMore returns the size with a further change, as long as the longest one.
+func (s answerSize) withOneMore() answerSize {
+	return answerSize{events: s.events + 1, bytes: s.bytes + s.longest, longest: s.longest}
+}
+
 // minus returns the size without a part of it.
 func (s answerSize) minus(part answerSize) answerSize {
-	return answerSize{events: s.events - part.events, bytes: s.bytes - part.bytes}
+	return answerSize{events: s.events - part.events, bytes: s.bytes - part.bytes, longest: s.longest}
 }
 
 // sizeAfter returns the size of the changes after an index.
@@ -64,10 +75,10 @@
 	headAt time.Duration
 	// newest is the newest position that is known to exist.
 	newest store.Position
-	// whole is the size of the largest answer known to be undivided, last that of the
-	// last answer, which ended at lastTo.
-	whole, last answerSize
-	lastTo      store.Position
+	// short is the size of answers that are taken to be undivided, whole that of the
+	// largest answer known to be so, last that of the last answer, which ended at lastTo.
+	short, whole, last answerSize
+	lastTo             store.Position
 	// doubtful is set while the last answer may have been divided.
 	doubtful bool
 	// verifyNext is set if the next answer is to be compared with the store's position,
@@ -80,7 +91,15 @@
 	answers     int
 }
 
-func newReach() reach { return reach{whole: answerSize{wholeEvents, wholeBytes}} }
+func newReach() reach { return reach{short: answerSize{events: shortEvents, bytes: shortBytes}} }
+
+// undivided reports whether an answer was not divided, by its size alone.
+func (r *reach) undivided(size answerSize) bool {
+	if size.longest*longShare > size.bytes {
+		size = size.withOneMore()
+	}
+	return size.within(r.short) || size.within(r.whole)
+}
 
 // needsHead reports whether the store's position has to be read before the next answer:
 // there is no other sign of whether the last one, up to pos, was divided.
@@ -143,18 +162,18 @@
 	crossesHead := r.headAt > 0 && from.Epoch == r.head.Epoch && from.Before(r.head)
 	switch {
 	case to.Before(r.head) && from.Epoch == r.head.Epoch:
-		r.doubtful = true
-		if r.last.within(r.whole) {
-			r.whole = answerSize{} // the store divides answers of this size
+		if r.undivided(r.last) { // the store divides answers of this size
+			r.short, r.whole = answerSize{}, answerSize{}
 		}
+		r.doubtful = true
 		return 0
-	case r.last.within(r.whole):
+	case r.undivided(r.last):
 		r.doubtful = false
 		r.verifyNext = wasDoubtful
 		return start
 	case crossesHead:
 		rest := sizeAfter(list, r.head.Index)
-		r.doubtful = !rest.within(r.whole)
+		r.doubtful = !rest.within(r.short)
 		r.learn(r.last.minus(rest))
 		return r.headAt
 	}
--- a/transport/follow/progress_test.go
+++ b/transport/follow/progress_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -236,5 +237,23 @@
 	is.NoErr(x.readAnswer(t.Context(), ReasonReader))
 	x.ApplyFeed(&gossip.Feed{From: x.pos.Index, To: x.feed.index})
 	is.NoErr(x.readHead(t.Context(), ReasonReader))
-	is.Equal(x.reach.whole, answerSize{wholeEvents, wholeBytes})
+	is.Equal(x.reach.whole, answerSize{})
+}
+
+// Guards against full answers that count as undivided because an answer of the same length
+// was: the next change had no room in them.
+func TestFullAnswersAreNotLearned(t *testing.T) {
+	is := is.New(t)
+	x, advance := newSteppedFixture(t)
+	const page = 4
+	x.feed.pageEvents = page
+	long := strings.Repeat("v", 100_000)
+	for _, changes := range []int{page, 5 * page, 5 * page} {
+		for range changes {
+			x.feed.put("o/out/a", long)
+		}
+		advance(time.Second)
+		is.NoErr(x.read(t.Context(), ReasonReader))
+		is.Equal(x.pos.Index, x.feed.index)
+	}
 }
