Request no reads of the store for flows that only wait for it to settle

A host that has listed the store waits 2.5 s until it takes an entry for absent, and asked for a read in each of these seconds although it had read enough.

Change: a read is requested only while this host has not read up to the flow's first packet.

Tests: TestReadIsNotRequestedWhileTheStoreSettles fails without the change (run so).

--- a/coordination/steering/absence.go
+++ b/coordination/steering/absence.go
@@ -90,18 +90,23 @@
 	}
 }
 
-// isAbsent reports whether this host has read everything that was written to the store
-// before it first saw a flow, so that what its view lacks did not exist then. After an
-// outage of the store, or its return from a copy, entries may be missing from it for a
-// while. That does not matter for what this host knows to have been dropped or to be
-// gone.
-func (s *Steering) isAbsent(f *absentFlow, cause Cause) bool {
+// readSince reports whether this host has read everything that was written to the store
+// before it first saw a flow, and whether the store has settled: after an outage, or its
+// return from a copy, entries may be missing from it for a while.
+func (s *Steering) readSince(f *absentFlow) (read, settled bool) {
 	if s.cfg.CompleteTo == nil {
-		return false
+		return false, false
 	}
 	complete, settled := s.cfg.CompleteTo()
+	return complete > f.firstSeen, settled
+}
+
+// isAbsent reports whether what the view lacks did not exist when this host first saw a
+// flow. What it knows to have been dropped or to be gone is so whatever the store lacks.
+func (s *Steering) isAbsent(f *absentFlow, cause Cause) bool {
+	read, settled := s.readSince(f)
 	ended := f.hadDestination && cause != CauseUnknownToken
-	return complete > f.firstSeen && (settled || ended)
+	return read && (settled || ended)
 }
 
 // resolveAbsent resets the flows whose destination is absent for certain, and forgets
@@ -121,7 +126,9 @@
 			delete(s.absent, key)
 			s.removeFlow(key)
 		default:
-			s.refresh()
+			if read, _ := s.readSince(f); !read {
+				s.refresh()
+			}
 		}
 	}
 }
--- a/coordination/steering/absence_test.go
+++ b/coordination/steering/absence_test.go
@@ -142,6 +142,28 @@
 	is.Equal(len(w.resets), 0)
 }
 
+// Guards against reads of the store that are requested although this host has read enough
+// and only waits for the store to settle.
+func TestReadIsNotRequestedWhileTheStoreSettles(t *testing.T) {
+	is := is.New(t)
+	w := newReadFixture(t)
+	w.completeKnown = false
+	c := w.movedFlow(t)
+	is.Equal(c.sendRequest().Kind, Drop)
+	is.Equal(w.refreshes, 1)
+	w.complete = w.now + time.Millisecond
+	for range 4 {
+		w.now += sweepInterval
+		w.Tick(w.now, w.recordReset)
+	}
+	is.Equal(w.refreshes, 1)
+	is.Equal(len(w.resets), 0)
+	w.completeKnown = true
+	w.now += sweepInterval
+	w.Tick(w.now, w.recordReset)
+	is.Equal(len(w.resets), 1)
+}
+
 // Guards against the use of one flow's time for another: a flow with the same unknown
 // token that opens later may be at a target that has started since.
 func TestUnknownTokenOfALaterFlow(t *testing.T) {
