review: case 9, a back end that starts again while the store is down is overloaded

Cause: a target counts as cold before its entry is read only if it was silent, which one that is down for a moment isn't.

Change: a script with its scenario in the stand-ins.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -25,6 +25,7 @@
 	scenarios := map[string]scenario{
 		"turned-away": runTurnedAway,
 		"seed-down":   runSeedDown,
+		"reborn":      runReborn,
 	}
 	name := flag.String("case", "", "the case to run")
 	program := flag.String("program", "target/jujubehaven", "the project's program")
