Review stand-in: cases of late calls and of restarts in outages

Change: both in the stand-in; backends of the cases idle and late end 0.25 s after drain_ms, so that what they had accepted then is seen to be lost. Nothing outside review/.

--- a/review/standin-3/backend.go
+++ b/review/standin-3/backend.go
@@ -49,6 +49,11 @@
 	state string
 	seq   uint64
 	queue int
+	// coldUntil is until when the backend is cold, openings when it has taken openings
+	// since its start.
+	coldUntil time.Time
+	openings  []time.Time
+	most      int // the most openings in a second while cold
 	// drainedAt is when the store accepted that the backend drains, zero if it does not.
 	drainedAt time.Time
 	stopped   bool
@@ -67,7 +72,7 @@
 	answered        bool // the client has acknowledged the answer
 }
 
-func newBackend(w *world, id, service, zone, ip string, port int) (*backend, error) {
+func newBackend(w *world, id, service, zone, ip string, port int, cold time.Duration) (*backend, error) {
 	addr, err := netip.ParseAddr(ip)
 	if err != nil {
 		return nil, err
@@ -84,7 +89,7 @@
 	}
 	b := &backend{
 		w: w, id: id, number: number, service: service, zone: zone, conn: conn, born: time.Now(),
-		work: make(chan struct{}, slots), flows: map[netip.AddrPort]*backendFlow{}, state: "ready", stop: make(chan struct{}),
+		coldUntil: time.Now().Add(cold), work: make(chan struct{}, slots), flows: map[netip.AddrPort]*backendFlow{}, state: "ready", stop: make(chan struct{}),
 	}
 	b.write()
 	go b.receive()
@@ -100,13 +105,31 @@
 func (b *backend) write() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.stopped {
+	if b.stopped || b.w.storeDown.Load() {
 		return
 	}
 	b.seq++
-	b.w.store.put(b.key(), entry{
+	b.w.store.put(b.key(), b.entry())
+}
+
+// entry returns the backend's entry. The caller holds b.mu.
+func (b *backend) entry() entry {
+	return entry{
 		Service: b.service, Address: b.address(), Zone: b.zone, Version: "v1", Slots: slots, State: b.state,
-		Seq: b.seq, Born: b.born.UnixMilli(),
+		WarmupLeftMS: int(max(time.Until(b.coldUntil), 0).Milliseconds()), Seq: b.seq, Born: b.born.UnixMilli(),
+	}
+}
+
+// writeLate writes the entry as it is now, but the store executes the call only after a
+// time, and its answer is lost.
+func (b *backend) writeLate(after time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.seq++
+	e := b.entry()
+	time.AfterFunc(after, func() {
+		b.w.store.put(b.key(), e)
+		b.w.record("the store executes a late write of %s: state %s, seq %d", b.id, e.State, e.Seq)
 	})
 }
 
@@ -146,19 +169,25 @@
 	}
 }
 
-// end ends the backend, which forgets its flows, and removes its entry.
+// end ends the backend and removes its entry.
 func (b *backend) end() {
+	if b.crash() {
+		b.w.store.remove(b.key())
+		b.w.record("backend %s has ended", b.id)
+	}
+}
+
+// crash ends the backend, which forgets its flows. It reports false if it had ended.
+func (b *backend) crash() bool {
 	b.mu.Lock()
+	defer b.mu.Unlock()
 	if b.stopped {
-		b.mu.Unlock()
-		return
+		return false
 	}
 	b.stopped = true
-	b.mu.Unlock()
 	close(b.stop)
 	_ = b.conn.Close()
-	b.w.store.remove(b.key())
-	b.w.record("backend %s has ended", b.id)
+	return true
 }
 
 func (b *backend) receive() {
--- a/review/standin-3/config.go
+++ b/review/standin-3/config.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"time"
 )
 
 // routeEntry, serviceEntry and configEntry are the operator's configuration.
@@ -37,6 +38,9 @@
 	} `json:"limits"`
 }
 
+// coldTime is how long a backend is cold after its start.
+const coldTime = 2 * time.Second
+
 // idleRoutes is the number of routes without traffic, as on the site's sheet.
 const idleRoutes = 110
 
@@ -60,7 +64,7 @@
 	}
 	for _, name := range []string{"bron", "qabyl"} {
 		c.Services = append(c.Services, serviceEntry{
-			Name: name, HealthPath: "/health", MaxConns: 2000, Protocol: "h1", WarmupS: 2,
+			Name: name, HealthPath: "/health", MaxConns: 2000, Protocol: "h1", WarmupS: coldTime.Seconds(), WarmupPerSec: w.coldRate,
 		})
 	}
 	w.store.put("op/config", c)
--- a/review/standin-3/idle.go
+++ b/review/standin-3/idle.go
@@ -14,10 +14,10 @@
 	settle = 10 * time.Second
 	// beforeKill is the time from a read of the store to the kill of the machine that
 	// made it, downFor the time until it starts again.
-	beforeKill = 620 * time.Millisecond
+	beforeKill = 700 * time.Millisecond
 	downFor    = 3500 * time.Millisecond
 	// leavesAfter is when a draining backend ends: drain_ms and a little longer.
-	leavesAfter = drainBound + 400*time.Millisecond
+	leavesAfter = drainBound + 250*time.Millisecond
 )
 
 // playIdle lets open connections to the store that carry nothing go silent. Later, long
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -18,14 +18,22 @@
 // testCase is a case of the review.
 type testCase struct {
 	layout layout
+	// coldRate is warmup_per_s, 0 for none; rates replaces the kinds' requests a second.
+	coldRate float64
+	rates    map[*kind]float64
 	// rule is the rule that the case is about.
 	rule string
 	play func(w *world, trouble bool) error
 }
 
 var cases = map[string]testCase{
-	"idle":    {layout{[]string{"a", "b", "c"}, 2, 5, 1}, "DRAIN", playIdle},
-	"foreign": {layout{[]string{"a", "b", "c"}, 2, 5, 1}, "ROUTE", playForeign},
+	"idle":    {layout: layout{[]string{"a", "b", "c"}, 2, 5, 1}, rule: "DRAIN", play: playIdle},
+	"foreign": {layout: layout{[]string{"a", "b", "c"}, 2, 5, 1}, rule: "ROUTE", play: playForeign},
+	"late":    {layout: layout{[]string{"a", "b", "c"}, 2, 5, 1}, rule: "DRAIN", play: playLate},
+	"reborn": {
+		layout: layout{[]string{"a", "b", "c"}, 2, 5, 1}, rule: "FAILBACK", play: playReborn,
+		coldRate: 12, rates: map[*kind]float64{feeds: 292},
+	},
 }
 
 // leadTime is the time between the start of the machines and that of the traffic.
@@ -53,7 +61,7 @@
 		return exitNotRun, err
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
-	w, err := newWorld(dir, record, c.layout)
+	w, err := newWorld(dir, record, &c)
 	if err != nil {
 		return exitNotRun, err
 	}
--- a/review/standin-3/proxy.go
+++ b/review/standin-3/proxy.go
@@ -18,6 +18,8 @@
 	conns map[*proxyConn]bool
 	// lastAnswer is when the store last answered the host.
 	lastAnswer time.Time
+	// down is set while the store is down: connections are reset.
+	down bool
 }
 
 // proxyConn is one connection of a host to the store.
@@ -51,6 +53,10 @@
 }
 
 func (p *proxy) connect(host net.Conn) {
+	if p.isDown() {
+		_ = host.Close()
+		return
+	}
 	upstream, err := net.Dial("tcp", p.store)
 	if err != nil {
 		_ = host.Close()
@@ -141,3 +147,21 @@
 		_ = c.store.Close()
 	}
 }
+
+func (p *proxy) isDown() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.down
+}
+
+// setDown begins or ends an outage of the store.
+func (p *proxy) setDown(down bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.down = down
+	if down {
+		for c := range p.conns {
+			_ = c.host.Close()
+		}
+	}
+}
--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -17,7 +18,9 @@
 const (
 	contactTime = 4 * time.Second
 	drainBound  = 3 * time.Second
-	configBound = 3 * time.Second
+	// A cold backend bears warmup_per_s * warmupExcess + warmupSlack requests in a second.
+	warmupExcess = 1.5
+	warmupSlack  = 5
 )
 
 // kind is a kind of request.
@@ -77,6 +80,12 @@
 	start                                         time.Time
 	out                                           *os.File
 
+	// storeDown is set while the store takes no writes.
+	storeDown atomic.Bool
+	// coldRate is warmup_per_s, rates the requests a second where a case differs.
+	coldRate float64
+	rates    map[*kind]float64
+
 	mu       sync.Mutex
 	backends []*backend
 	requests map[string]*request
@@ -112,13 +121,13 @@
 }
 
 // newWorld starts the store, the backends, the hosts and the clients of a deployment.
-func newWorld(dir, record string, l layout) (*world, error) {
+func newWorld(dir, record string, c *testCase) (*world, error) {
 	out, err := os.Create(record)
 	if err != nil {
 		return nil, err
 	}
 	w := &world{
-		dir: dir, store: newStore(), zones: l.zones, clients: map[string][]*client{}, routes: map[*kind]netip.AddrPort{},
+		dir: dir, store: newStore(), zones: c.layout.zones, coldRate: c.coldRate, rates: c.rates, clients: map[string][]*client{}, routes: map[*kind]netip.AddrPort{},
 		stop: make(chan struct{}), start: time.Now(), out: out,
 		requests: map[string]*request{}, byEnd: map[netip.AddrPort]*request{}, breaks: map[string]int{},
 	}
@@ -137,7 +146,7 @@
 		w.routes[k] = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 8, 0, byte(i + 1)}), 8443)
 	}
 	w.configure()
-	return w, w.populate(l)
+	return w, w.populate(c.layout)
 }
 
 func (w *world) populate(l layout) error {
@@ -190,7 +199,7 @@
 	w.mu.Lock()
 	n := len(w.backends) + 1
 	w.mu.Unlock()
-	b, err := newBackend(w, fmt.Sprintf("i-%08x", rand.Uint32()), service, zone, fmt.Sprintf("127.2.0.%d", n), w.backendPort)
+	b, err := newBackend(w, fmt.Sprintf("i-%08x", rand.Uint32()), service, zone, fmt.Sprintf("127.2.0.%d", n), w.backendPort, 0)
 	if err != nil {
 		return nil, err
 	}
@@ -284,7 +293,11 @@
 		for _, zone := range w.zones {
 			for _, c := range w.clients[zone] {
 				w.wg.Add(1)
-				go w.sendRequests(c, k, k.perSecond/float64(len(w.zones)*len(w.clients[zone])))
+				perSecond := k.perSecond
+				if rate, ok := w.rates[k]; ok {
+					perSecond = rate
+				}
+				go w.sendRequests(c, k, perSecond/float64(len(w.zones)*len(w.clients[zone])))
 			}
 		}
 	}
@@ -338,6 +351,7 @@
 // taken records that a backend has taken an opening.
 func (w *world) taken(from netip.AddrPort, b *backend) {
 	now := time.Now()
+	w.judgeCold(b, now)
 	w.mu.Lock()
 	r := w.byEnd[from]
 	w.mu.Unlock()
@@ -348,6 +362,21 @@
 	}
 }
 
+// judgeCold counts the openings of the last second at a cold backend. b.mu is held.
+func (w *world) judgeCold(b *backend, now time.Time) {
+	if !now.Before(b.coldUntil) {
+		return
+	}
+	b.openings = append(b.openings, now)
+	for len(b.openings) > 0 && now.Sub(b.openings[0]) > time.Second {
+		b.openings = b.openings[1:]
+	}
+	b.most = max(b.most, len(b.openings))
+	if n := len(b.openings); float64(n) > w.coldRate*warmupExcess+warmupSlack {
+		w.broken("FAILBACK", "backend %s, cold for %d ms more, has got %d openings in a second", b.id, b.coldUntil.Sub(now).Milliseconds(), n)
+	}
+}
+
 // tookLate judges an opening that came to a backend later than drainBound after the store
 // has accepted that it drains.
 func (w *world) tookLate(r *request, b *backend, late time.Duration) {
